Lay down the shape: core types, charts, clock, findings, checks

Cause: the project starts empty. Conclusion: the decisions can be written side by side against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Every target makes its environment first, from the pinned requirements.
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+SOURCES := savoryarch savoryarch_standins savoryarch_bench benchmarks examples tests
+DEPLOYMENT ?= bertolini
+ARGS ?=
+
+.PHONY: help env demo test lint format bench guards capacity binary
+
+help: ## list the targets
+	@grep -E '^[a-z]+:.*##' Makefile | sed -E 's/:.*## /\t/' | expand -t 12
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements-dev.txt
+	touch $@
+
+env: $(VENV)/.ready ## make the environment from the pinned requirements
+
+demo: env ## run every process on loopback and send searches and orders (DEPLOYMENT=bertolini|swan-coast)
+	$(BIN)/python -m savoryarch_bench.demo --deployment $(DEPLOYMENT) $(ARGS)
+
+lint: env ## formatter, linter, type checker and shape check
+	$(BIN)/black --check --quiet $(wildcard $(SOURCES))
+	$(BIN)/ruff check --quiet $(wildcard $(SOURCES))
+	$(BIN)/mypy $(wildcard savoryarch savoryarch_standins savoryarch_bench)
+	$(BIN)/python -m tests.check_shape
+
+format: env ## rewrite the sources with the formatter and the linter's fixes
+	$(BIN)/black --quiet $(wildcard $(SOURCES))
+	$(BIN)/ruff check --quiet --fix $(wildcard $(SOURCES))
+
+test: lint ## formatter, linter and all tests
+	$(BIN)/python -m pytest $(ARGS)
+
+bench: env ## the goals of searches under load, against the baselines
+	$(BIN)/python -m savoryarch_bench $(ARGS)
+
+guards: env ## take each guard away and show the proofs that catch it
+	$(BIN)/python -m tests.guards $(ARGS)
+
+capacity: env ## reprint every measured slope and the tables of docs/CAPACITY.md
+	$(BIN)/python -m savoryarch_bench.capacity $(ARGS)
+
+binary: env ## build the one-file program into dist/
+	$(BIN)/python -m savoryarch_bench.binary
--- /dev/null
+++ b/savoryarch/charts/_load.py
@@ -0,0 +1,169 @@
+"""Reads chart files and checks them."""
+
+from collections.abc import Iterable
+from functools import cache
+from importlib.resources import files
+from types import MappingProxyType
+
+from savoryarch.charts._chart import Chart, Transition
+from savoryarch.exceptions import FindingsError
+from savoryarch.utils import Finding, IniDocument, IniEntry, IniSection, Place, read_ini
+
+_STATE_PREFIX = "state "
+_CHART_KEYS = ("name", "summary", "initial", "events")
+
+
+def _chart_names() -> tuple[str, ...]:
+    folder = files("savoryarch.charts")
+    return tuple(sorted(item.name[:-4] for item in folder.iterdir() if item.name.endswith(".ini")))
+
+
+CHART_NAMES = _chart_names()
+
+
+@cache
+def load_chart(name: str, actions: frozenset[str] | None = None) -> Chart:
+    """Load the chart file ``savoryarch/charts/NAME.ini``.
+
+    Parameters
+    ----------
+    name : str
+        Name of the chart.
+    actions : frozenset of str, optional
+        The actions that the caller can carry out; the chart must name exactly these.
+
+    Raises
+    ------
+    FindingsError
+        With everything that is wrong in the file.
+    """
+    source = f"{name}.ini"
+    text = files("savoryarch.charts").joinpath(source).read_text(encoding="utf-8")
+    return parse_chart(text, source, actions)
+
+
+def parse_chart(text: str, source: str, actions: frozenset[str] | None = None) -> Chart:
+    """Parse and check the text of a chart file; see `load_chart`."""
+    document, findings = read_ini(text, source)
+    if findings:
+        raise FindingsError(findings)
+    chart, findings = _read_chart(document)
+    findings += _check_chart(chart, document)
+    if actions is not None:
+        findings += _check_actions(chart, actions, source)
+    if findings:
+        raise FindingsError(findings)
+    return chart
+
+
+def _read_chart(document: IniDocument) -> tuple[Chart, tuple[Finding, ...]]:
+    findings: list[Finding] = []
+    head = document.get("chart")
+    values = {entry.key: entry.value for entry in head.entries} if head else {}
+    place = head.place if head else Place(document.source)
+    findings += [
+        Finding(place, f"key {key!r} is missing from [chart]")
+        for key in _CHART_KEYS
+        if not values.get(key)
+    ]
+    findings += [
+        Finding(section.place, f"got section [{section.name}], expected [chart] or [state NAME]")
+        for section in document.sections
+        if section.name != "chart" and not section.name.startswith(_STATE_PREFIX)
+    ]
+    transitions: dict[tuple[str, str], Transition] = {}
+    finals: set[str] = set()
+    for section in _state_sections(document):
+        name = _state_name(section)
+        for entry in section.entries:
+            if entry.key == "final":
+                finals.add(name)
+            elif entry.key != "summary":
+                transitions[(name, entry.key)] = _read_transition(entry)
+    chart = Chart(
+        name=values.get("name", ""),
+        summary=values.get("summary", ""),
+        initial=values.get("initial", ""),
+        events=frozenset(_names(values.get("events", ""))),
+        states=frozenset(_state_name(section) for section in _state_sections(document)),
+        final_states=frozenset(finals),
+        transitions=MappingProxyType(transitions),
+    )
+    return chart, tuple(findings)
+
+
+def _read_transition(entry: IniEntry) -> Transition:
+    next_state, _, actions = entry.value.partition("/")
+    return Transition(next_state.strip(), tuple(_names(actions)))
+
+
+def _check_chart(chart: Chart, document: IniDocument) -> tuple[Finding, ...]:
+    findings: list[Finding] = []
+    head = document.get("chart")
+    head_place = head.place if head else Place(document.source)
+    if chart.initial and chart.initial not in chart.states:
+        findings.append(Finding(head_place, f"initial state {chart.initial!r} does not exist"))
+    for section in _state_sections(document):
+        findings += _check_state(chart, section)
+    used = {event for _, event in chart.transitions}
+    findings += [
+        Finding(head_place, f"event {event!r} has no transition in any state")
+        for event in sorted(chart.events - used)
+    ]
+    return tuple(findings)
+
+
+def _check_state(chart: Chart, section: IniSection) -> Iterable[Finding]:
+    name = _state_name(section)
+    if name not in _reachable_states(chart):
+        yield Finding(section.place, f"state {name!r} cannot be reached from {chart.initial!r}")
+    entries = [entry for entry in section.entries if entry.key not in ("final", "summary")]
+    if name in chart.final_states and entries:
+        yield Finding(section.place, f"final state {name!r} must not have transitions")
+    if name not in chart.final_states and not entries:
+        yield Finding(section.place, f"state {name!r} has no transition and is not final")
+    for entry in entries:
+        if entry.key not in chart.events:
+            yield Finding(entry.place, f"event {entry.key!r} is not listed in [chart] events")
+        target = chart.transitions[(name, entry.key)].next_state
+        if target not in chart.states:
+            yield Finding(entry.place, f"next state {target!r} does not exist")
+
+
+def _check_actions(chart: Chart, actions: frozenset[str], source: str) -> tuple[Finding, ...]:
+    place = Place(source)
+    unknown = [
+        Finding(place, f"action {action!r} is not implemented")
+        for action in sorted(chart.actions() - actions)
+    ]
+    unused = [
+        Finding(place, f"action {action!r} is implemented but no transition names it")
+        for action in sorted(actions - chart.actions())
+    ]
+    return tuple(unknown + unused)
+
+
+def _reachable_states(chart: Chart) -> set[str]:
+    reached = {chart.initial}
+    grown = True
+    while grown:
+        found = {
+            transition.next_state
+            for (state, _), transition in chart.transitions.items()
+            if state in reached
+        }
+        grown = not found <= reached
+        reached |= found
+    return reached
+
+
+def _state_sections(document: IniDocument) -> tuple[IniSection, ...]:
+    return tuple(section for section in document.sections if section.name.startswith(_STATE_PREFIX))
+
+
+def _state_name(section: IniSection) -> str:
+    return section.name.removeprefix(_STATE_PREFIX).strip()
+
+
+def _names(text: str) -> list[str]:
+    return [name.strip() for name in text.split(",") if name.strip()]
--- /dev/null
+++ b/savoryarch/tier/__init__.py
@@ -0,0 +1,1 @@
+"""The root decision: routes each event to the decisions that it concerns."""
--- /dev/null
+++ b/savoryarch/utils/_clock.py
@@ -0,0 +1,35 @@
+"""The only place where a clock is read."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+MS_PER_S = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Clock:
+    """A clock in milliseconds.
+
+    Parameters
+    ----------
+    read_s : callable
+        Returns the current time in seconds. ``twisted.internet.task.Clock().seconds`` gives a
+        clock in virtual time.
+    """
+
+    read_s: Callable[[], float]
+
+    def now_ms(self) -> float:
+        """Return the current time in milliseconds."""
+        return self.read_s() * MS_PER_S
+
+
+def make_system_clock() -> Clock:
+    """Make the monotonic clock of this process; its zero is arbitrary."""
+    return Clock(read_s=time.monotonic)
+
+
+def make_wall_clock() -> Clock:
+    """Make the clock of calendar time, in milliseconds since the Unix epoch."""
+    return Clock(read_s=time.time)
