Declare settings with their constraints and check them in one place

Cause: every subject has settings; each would check its own. Change: setting() declares a constraint on a data class field, read_section checks a whole INI section and reports every finding with its line. Conclusion: a subject adds a setting by one declared field.

--- /dev/null
+++ b/savoryarch/utils/_validation.py
@@ -0,0 +1,181 @@
+"""Declared constraints of settings and resource fields, and the one place that checks them."""
+
+import re
+from dataclasses import MISSING, Field, dataclass, field, fields
+from difflib import get_close_matches
+from enum import Enum
+from ipaddress import ip_address
+from typing import Any
+
+from savoryarch.utils._findings import Finding, Place
+from savoryarch.utils._ini import IniEntry, IniSection
+
+_TRUE = {"yes", "true", "on", "1"}
+_FALSE = {"no", "false", "off", "0"}
+
+
+@dataclass(frozen=True, slots=True)
+class Number:
+    """A number from `low` to `high`, both included."""
+
+    low: float
+    high: float
+    whole: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OneOf:
+    """A member of an enumeration, written as its value."""
+
+    choices: type[Enum]
+
+
+@dataclass(frozen=True, slots=True)
+class Text:
+    """Text that matches a pattern as a whole; `example` is shown in findings."""
+
+    pattern: str
+    example: str
+
+
+@dataclass(frozen=True, slots=True)
+class Words:
+    """Words separated by white space or commas, each of which matches a pattern."""
+
+    pattern: str
+    example: str
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number."""
+
+
+@dataclass(frozen=True, slots=True)
+class Switch:
+    """``yes`` or ``no``."""
+
+
+Constraint = Number | OneOf | Text | Words | Address | Switch
+
+NAME = Text(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?", "balcao-03")
+PORT = Number(0, 65535, whole=True)
+URL = Text(r"https?://[^\s/]+(:\d+)?", "http://127.0.0.1:7000")
+
+
+def setting(constraint: Constraint, description: str, default: Any = MISSING) -> Any:
+    """Declare a field of a settings data class with its constraint.
+
+    Parameters
+    ----------
+    constraint : Constraint
+        What values are accepted.
+    description : str
+        One sentence for the pages.
+    default : object, optional
+        The value if the key is absent; without one, the key is required.
+    """
+    metadata = {"constraint": constraint, "description": description}
+    if default is MISSING:
+        return field(metadata=metadata)
+    return field(default=default, metadata=metadata)
+
+
+def read_section(section: IniSection, kind: type) -> tuple[Any, tuple[Finding, ...]]:
+    """Read one INI section into a data class whose fields are declared by `setting`.
+
+    Returns
+    -------
+    value : object or None
+        An instance of `kind`; None if there are findings.
+    findings : tuple of Finding
+        Unknown keys (with a suggestion), missing keys and values outside their constraint.
+    """
+    declared = {item.name: item for item in fields(kind) if "constraint" in item.metadata}
+    values: dict[str, Any] = {}
+    findings: list[Finding] = []
+    for entry in section.entries:
+        if entry.key not in declared:
+            findings.append(Finding(entry.place, _unknown_key(entry.key, declared)))
+            continue
+        value, problem = parse_value(entry.value, declared[entry.key].metadata["constraint"])
+        values[entry.key] = value
+        if problem:
+            findings.append(Finding(entry.place, problem))
+    findings += [
+        Finding(section.place, f"key {name!r} is missing: {item.metadata['description']}")
+        for name, item in declared.items()
+        if name not in values and _is_required(item)
+    ]
+    return (None if findings else kind(**values)), tuple(findings)
+
+
+def parse_value(text: str, constraint: Constraint) -> tuple[Any, str]:
+    """Parse `text`; returns the value and an empty string, or None and what was expected."""
+    match constraint:
+        case Number(low=low, high=high, whole=whole):
+            return _parse_number(text, low, high, whole)
+        case OneOf(choices=choices):
+            return _parse_choice(text, choices)
+        case Text(pattern=pattern, example=example):
+            if re.fullmatch(pattern, text):
+                return text, ""
+            return None, f"got {text!r}, expected text such as {example!r}"
+        case Words(pattern=pattern, example=example):
+            words = tuple(text.replace(",", " ").split())
+            wrong = [word for word in words if not re.fullmatch(pattern, word)]
+            if wrong or not words:
+                return None, f"got {' '.join(wrong)!r}, expected words such as {example!r}"
+            return words, ""
+        case Address():
+            try:
+                return str(ip_address(text)), ""
+            except ValueError:
+                return None, f"got {text!r}, expected an IP number such as '127.0.0.1'"
+        case Switch():
+            if text.lower() in _TRUE | _FALSE:
+                return text.lower() in _TRUE, ""
+            return None, f"got {text!r}, expected 'yes' or 'no'"
+
+
+def suggest(word: str, known: tuple[str, ...]) -> str:
+    """Return a question that names the closest known word, or an empty string."""
+    close = get_close_matches(word, known, n=1)
+    return f"; did you mean {close[0]!r}?" if close else ""
+
+
+def _parse_number(text: str, low: float, high: float, whole: bool) -> tuple[Any, str]:
+    expected = f"expected {'a whole number' if whole else 'a number'} from {low:g} to {high:g}"
+    try:
+        value = int(text) if whole else float(text)
+    except ValueError:
+        return None, f"got {text!r}, {expected}"
+    if not low <= value <= high:
+        return None, f"got {text}, {expected}"
+    return value, ""
+
+
+def _parse_choice(text: str, choices: type[Enum]) -> tuple[Any, str]:
+    known = tuple(str(choice.value) for choice in choices)
+    if text in known:
+        return choices(text), ""
+    return None, f"got {text!r}, expected one of {', '.join(known)}{suggest(text, known)}"
+
+
+def _unknown_key(key: str, declared: dict[str, Field]) -> str:
+    return f"key {key!r} is unknown{suggest(key, tuple(declared))}"
+
+
+def _is_required(item: Field) -> bool:
+    return item.default is MISSING and item.default_factory is MISSING
+
+
+def entry_value(entry: IniEntry | None, default: str = "") -> str:
+    """Return the value of an entry that may be absent."""
+    return entry.value if entry else default
+
+
+def place_of(section: IniSection, key: str) -> Place:
+    """Return the place of a key, or of its section if the key is absent."""
+    entry = section.get(key)
+    return entry.place if entry else section.place
