--- /dev/null
+++ b/savoryarch/replay/_trace.py
@@ -0,0 +1,129 @@
+"""Reads trace files: one JSON object a line."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from msgspec import DecodeError, ValidationError, convert, json
+
+from savoryarch.exceptions import FindingsError
+from savoryarch.utils import Finding, Place
+
+
+@dataclass(frozen=True, slots=True)
+class TraceHeader:
+    """The first line of a trace.
+
+    Parameters
+    ----------
+    trace : str
+        Name of the trace.
+    promise : str
+        What must hold, in one sentence.
+    instance_id, availability_zone : str
+        The instance that the trace was recorded at.
+    resources : str
+        File with the declared resources, relative to the trace; empty for none.
+    settings : str
+        INI text with sections of settings that differ from their defaults.
+    never : tuple of object
+        Patterns that no effect of the whole trace may match.
+    """
+
+    trace: str
+    promise: str
+    instance_id: str = "entry-1"
+    availability_zone: str = "a"
+    resources: str = ""
+    settings: str = ""
+    never: tuple[dict[str, Any], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class EventStep:
+    """An event at a time; due timers fire before it."""
+
+    place: Place
+    at_ms: float
+    event: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectStep:
+    """An effect that must have come since the last event step."""
+
+    place: Place
+    expect: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class ForbidStep:
+    """An effect that must not have come since the last event step."""
+
+    place: Place
+    forbid: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class AdvanceStep:
+    """Time passes and due timers fire; counts as an event step."""
+
+    place: Place
+    advance_to_ms: float
+
+
+Step = EventStep | ExpectStep | ForbidStep | AdvanceStep
+
+
+@dataclass(frozen=True, slots=True)
+class Trace:
+    """A whole trace."""
+
+    source: str
+    header: TraceHeader
+    steps: tuple[Step, ...]
+
+
+def read_trace(text: str, source: str) -> Trace:
+    """Read the text of a trace file.
+
+    Raises
+    ------
+    FindingsError
+        With every line that cannot be read.
+    """
+    findings: list[Finding] = []
+    header: TraceHeader | None = None
+    steps: list[Step] = []
+    for number, line in enumerate(text.splitlines(), start=1):
+        if not line.strip() or line.lstrip().startswith("#"):
+            continue
+        place = Place(source, number)
+        try:
+            plain = json.decode(line)
+            if header is None:
+                header = convert(plain, TraceHeader)
+            else:
+                steps.append(_read_step(plain, place))
+        except (DecodeError, ValidationError, ValueError) as error:
+            findings.append(Finding(place, str(error)))
+    if header is None:
+        findings.append(Finding(Place(source), "expected a first line with the key 'trace'"))
+    if findings or header is None:
+        raise FindingsError(tuple(findings))
+    return Trace(source, header, tuple(steps))
+
+
+def _read_step(plain: object, place: Place) -> Step:
+    match plain:
+        case {"at_ms": int() | float() as at_ms, "event": dict() as event, **rest} if not rest:
+            return EventStep(place, float(at_ms), event)
+        case {"advance_to_ms": int() | float() as at_ms, **rest} if not rest:
+            return AdvanceStep(place, float(at_ms))
+        case {"expect": dict() as expect, **rest} if not rest:
+            return ExpectStep(place, expect)
+        case {"forbid": dict() as forbid, **rest} if not rest:
+            return ForbidStep(place, forbid)
+        case _:
+            raise ValueError(
+                f"got {plain!r:.80}, expected at_ms with event, advance_to_ms, expect or forbid"
+            )
