Add the store stand-in with switches for outages, delays and lost replies

Cause: orders, configuration and membership need the platform's store in tests. Change: the store's logic as pure functions on a frozen state, and an HTTP server over them. Conclusion: tests in virtual time and processes on loopback share one store logic.

--- /dev/null
+++ b/savoryarch_standins/store/__main__.py
@@ -0,0 +1,36 @@
+"""Runs the store stand-in: ``python -m savoryarch_standins.store --host 127.0.0.1 --port 0``."""
+
+from typing import Any
+
+from fire import Fire
+from twisted.internet import reactor as installed_reactor
+from twisted.internet.task import LoopingCall
+from twisted.web.server import Site
+
+from savoryarch.utils import make_system_clock
+from savoryarch_standins.store._server import StoreServer
+
+_LAPSE_INTERVAL_S = 0.05
+
+
+def main(host: str = "127.0.0.1", port: int = 0) -> None:
+    """Serve the store until the process is ended.
+
+    Parameters
+    ----------
+    host : str
+        IP number to listen on.
+    port : int
+        TCP port; 0 for any.
+    """
+    reactor: Any = installed_reactor
+    server = StoreServer(reactor, make_system_clock())
+    listening = reactor.listenTCP(port, Site(server.app.resource()), interface=host)
+    LoopingCall(server.lapse).start(_LAPSE_INTERVAL_S)
+    address = listening.getHost()
+    print(f"ready host={address.host} port={address.port}", flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    Fire(main)
--- /dev/null
+++ b/savoryarch_standins/store/_server.py
@@ -0,0 +1,264 @@
+"""Serves the store stand-in over HTTP, as described in ``docs/PLATFORM.md``."""
+
+from base64 import b64encode
+from collections.abc import Callable
+from dataclasses import asdict, replace
+from typing import Any
+
+import msgspec
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.web.http import Request
+
+from savoryarch.model import (
+    KeyAbsent,
+    KeyRead,
+    KeysChanged,
+    KeysListed,
+    ListKeys,
+    ReadKey,
+    StoreLimited,
+    SwapConflict,
+    SwapKey,
+    Swapped,
+    WatchCompacted,
+    WatchKeys,
+)
+from savoryarch.utils import Clock
+from savoryarch_standins.store._calls import (
+    call_store,
+    lapse_leases,
+    restore_store,
+    watch_reply,
+)
+from savoryarch_standins.store._state import (
+    Call,
+    CallLost,
+    DeleteKey,
+    Granted,
+    GrantLease,
+    KeepLease,
+    LeaseLapsed,
+    Reply,
+    ReplyLost,
+    StoreState,
+    StoreSwitches,
+    SwapWithLease,
+    Unavailable,
+    ValueTooLarge,
+    Waiting,
+)
+
+_MS_PER_S = 1000.0
+
+
+class StoreServer:
+    """The HTTP interface of the store stand-in.
+
+    Parameters
+    ----------
+    reactor : IReactorTime provider
+        For delays and waiting watches.
+    clock : Clock
+        For leases and rate limits.
+    """
+
+    app = Klein()
+
+    def __init__(self, reactor: Any, clock: Clock) -> None:
+        self.state = StoreState()
+        self._reactor = reactor
+        self._clock = clock
+        self._watches: list[Callable[[], None]] = []
+
+    @app.route("/v1/keys/<path:key>", methods=["GET"])
+    def read(self, request: Request, key: str) -> Deferred[bytes]:
+        """Read one key."""
+        return self._serve(request, ReadKey("", key))
+
+    @app.route("/v1/keys/<path:key>", methods=["PUT"])
+    def swap(self, request: Request, key: str) -> Deferred[bytes]:
+        """Write one key by compare-and-swap."""
+        value = _content(request)
+        expected, lease = int(_argument(request, "expected_revision")), _argument(request, "lease")
+        if lease:
+            return self._serve(request, SwapWithLease("", key, value, expected, lease))
+        return self._serve(request, SwapKey("", key, value, expected))
+
+    @app.route("/v1/keys/<path:key>", methods=["DELETE"])
+    def delete(self, request: Request, key: str) -> Deferred[bytes]:
+        """Delete one key by compare-and-swap."""
+        return self._serve(
+            request, DeleteKey("", key, int(_argument(request, "expected_revision")))
+        )
+
+    @app.route("/v1/keys", methods=["GET"])
+    def list(self, request: Request) -> Deferred[bytes]:
+        """Read every key with a prefix."""
+        return self._serve(request, ListKeys("", _argument(request, "prefix")))
+
+    @app.route("/v1/watch", methods=["GET"])
+    def watch(self, request: Request) -> Deferred[bytes]:
+        """Wait for changes."""
+        call = WatchKeys(
+            "",
+            _argument(request, "prefix"),
+            int(_argument(request, "since_revision")),
+            float(_argument(request, "wait_ms")),
+        )
+        return self._serve(request, call)
+
+    @app.route("/v1/leases", methods=["POST"])
+    def grant(self, request: Request) -> Deferred[bytes]:
+        """Grant a lease."""
+        asked = msgspec.json.decode(_content(request))
+        return self._serve(request, GrantLease("", float(asked["ttl_ms"])))
+
+    @app.route("/v1/leases/<lease>", methods=["PUT"])
+    def keep(self, request: Request, lease: str) -> Deferred[bytes]:
+        """Renew a lease."""
+        return self._serve(request, KeepLease("", lease))
+
+    @app.route("/switches", methods=["POST"])
+    def switch(self, request: Request) -> bytes:
+        """Set switches; ``restore_revision`` puts the store back to an older revision."""
+        asked: dict[str, Any] = msgspec.json.decode(_content(request))
+        revision = asked.pop("restore_revision", None)
+        if revision is not None:
+            self.state = restore_store(self.state, int(revision))
+        merged = asdict(self.state.switches) | asked
+        switches = msgspec.convert(merged, StoreSwitches, strict=False)
+        self.state = replace(self.state, switches=switches)
+        self._wake_watches()
+        return msgspec.json.encode(asdict(switches) | {"revision": self.state.revision})
+
+    @app.route("/counts", methods=["GET"])
+    def counts(self, request: Request) -> bytes:
+        """Report the calls so far by kind."""
+        extra = {"waiting_watches": self.state.waiting_watches, "revision": self.state.revision}
+        return msgspec.json.encode(dict(self.state.counts) | extra)
+
+    def _serve(self, request: Request, call: Call) -> Deferred[bytes]:
+        finished: Deferred[bytes] = Deferred()
+        request.notifyFinish().addErrback(lambda failure: None)
+        self._after(self.state.switches.delay_ms, lambda: self._carry_out(request, call, finished))
+        return finished
+
+    def _carry_out(self, request: Request, call: Call, finished: Deferred[bytes]) -> None:
+        called = call_store(self.state, call, self._clock.now_ms())
+        wrote = called.state.revision != self.state.revision
+        self.state = called.state
+        if isinstance(called.reply, Waiting) and isinstance(call, WatchKeys):
+            self._wait(request, call, finished)
+        else:
+            self._reply(request, called.reply, finished)
+        if wrote:
+            self._wake_watches()
+
+    def _wait(self, request: Request, call: WatchKeys, finished: Deferred[bytes]) -> None:
+        self._count_waiting(1)
+
+        def end(reply: Reply) -> None:
+            if check in self._watches:
+                self._watches.remove(check)
+                self._count_waiting(-1)
+                if timeout.active():
+                    timeout.cancel()
+                self._reply(request, reply, finished)
+
+        def check() -> None:
+            if self.state.switches.outage:
+                end(Unavailable())
+                return
+            reply = watch_reply(self.state, call.prefix, call.since_revision)
+            if not isinstance(reply, Waiting):
+                end(reply)
+
+        def expire() -> None:
+            end(KeysChanged((), self.state.revision))
+
+        timeout = self._reactor.callLater(call.wait_ms / _MS_PER_S, expire)
+        request.notifyFinish().addErrback(lambda failure: end(CallLost()))
+        self._watches.append(check)
+
+    def _wake_watches(self) -> None:
+        for check in tuple(self._watches):
+            check()
+
+    def _count_waiting(self, change: int) -> None:
+        self.state = replace(self.state, waiting_watches=self.state.waiting_watches + change)
+
+    def lapse(self) -> None:
+        """Let leases lapse that nobody renewed; called in an interval."""
+        before = self.state.revision
+        self.state = lapse_leases(self.state, self._clock.now_ms())
+        if self.state.revision != before:
+            self._wake_watches()
+
+    def _reply(self, request: Request, reply: Reply, finished: Deferred[bytes]) -> None:
+        def send() -> None:
+            if isinstance(reply, CallLost | ReplyLost):
+                if request.channel is not None:
+                    request.channel.loseConnection()
+                return
+            finished.callback(_encode(request, reply))
+
+        self._after(self.state.switches.reply_delay_ms, send)
+
+    def _after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        if delay_ms > 0:
+            self._reactor.callLater(delay_ms / _MS_PER_S, action)
+        else:
+            action()
+
+
+def _encode(request: Request, reply: Reply) -> bytes:
+    match reply:
+        case KeyRead(value=value, revision=revision):
+            request.setHeader("x-revision", str(revision))
+            return value
+        case KeyAbsent(revision=revision):
+            request.setHeader("x-revision", str(revision))
+            return _body(request, 404, {"revision": revision})
+        case Swapped(revision=revision):
+            return _body(request, 200, {"revision": revision})
+        case SwapConflict(revision=revision):
+            return _body(request, 409, {"revision": revision})
+        case KeysListed(entries=entries, revision=revision):
+            rows = [_row(entry.key, entry.value, entry.revision) for entry in entries]
+            return _body(request, 200, {"revision": revision, "entries": rows})
+        case KeysChanged(changes=changes, revision=revision):
+            rows = [_row(change.key, change.value, change.revision) for change in changes]
+            return _body(request, 200, {"revision": revision, "changes": rows})
+        case WatchCompacted(revision=revision):
+            return _body(request, 410, {"revision": revision})
+        case Granted(lease=lease):
+            return _body(request, 200, {"lease": lease})
+        case LeaseLapsed():
+            return _body(request, 404, {"reason": "lease_lapsed"})
+        case ValueTooLarge():
+            return _body(request, 413, {"reason": "value_too_large"})
+        case StoreLimited():
+            return _body(request, 429, {"reason": "rate_limit"})
+        case _:
+            return _body(request, 503, {"reason": "outage"})
+
+
+def _body(request: Request, status: int, body: dict[str, Any]) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader("content-type", "application/json")
+    return msgspec.json.encode(body)
+
+
+def _row(key: str, value: bytes | None, revision: int) -> dict[str, Any]:
+    text = None if value is None else b64encode(value).decode("ascii")
+    return {"key": key, "value": text, "revision": revision}
+
+
+def _argument(request: Request, name: str) -> str:
+    values = request.args.get(name.encode("ascii"))
+    return values[0].decode("utf-8") if values else ""
+
+
+def _content(request: Request) -> bytes:
+    return request.content.read() if request.content else b""
--- /dev/null
+++ b/savoryarch_standins/store/tests/test_store.py
@@ -0,0 +1,129 @@
+from dataclasses import replace
+
+import pytest
+
+from savoryarch.model import (
+    KeyAbsent,
+    KeyChange,
+    KeyRead,
+    KeysChanged,
+    KeysListed,
+    ListKeys,
+    ReadKey,
+    StoreLimited,
+    StoreUnreachable,
+    SwapConflict,
+    SwapKey,
+    Swapped,
+    WatchCompacted,
+    WatchKeys,
+)
+from savoryarch_standins.store import (
+    MAX_VALUE_BYTES,
+    DeleteKey,
+    Granted,
+    GrantLease,
+    KeepLease,
+    LeaseLapsed,
+    ReplyLost,
+    StoreState,
+    StoreSwitches,
+    SwapWithLease,
+    Unavailable,
+    ValueTooLarge,
+    Waiting,
+    ask_store,
+    call_store,
+    restore_store,
+)
+
+PUT_A = SwapKey("", "p/a", b"1", 0)
+CHANGE_A = KeyChange("p/a", b"1", 1)
+
+
+def run(calls, state=None):
+    state = state or StoreState()
+    for at_ms, call in calls:
+        called = call_store(state, call, at_ms)
+        state = called.state
+    return state, called.reply
+
+
+@pytest.mark.parametrize(
+    ("calls", "reply"),
+    [
+        ([ReadKey("", "a")], KeyAbsent("a", 0)),
+        ([PUT_A], Swapped("p/a", 1)),
+        ([PUT_A, PUT_A], SwapConflict("p/a", 1)),
+        ([PUT_A, SwapKey("", "p/a", b"2", 1), ReadKey("", "p/a")], KeyRead("p/a", b"2", 2)),
+        ([SwapKey("", "a", b"", 7)], SwapConflict("a", 0)),
+        ([SwapKey("", "a", b"x" * (MAX_VALUE_BYTES + 1), 0)], ValueTooLarge()),
+        ([PUT_A, DeleteKey("", "p/a", 1), ReadKey("", "p/a")], KeyAbsent("p/a", 2)),
+        ([PUT_A, ListKeys("", "p/")], KeysListed((KeyRead("p/a", b"1", 1),), 1)),
+        ([PUT_A, WatchKeys("", "p/", 0, 9)], KeysChanged((CHANGE_A,), 1)),
+        ([PUT_A, WatchKeys("", "q/", 0, 9)], Waiting()),
+        ([WatchKeys("", "p/", 0, 9)], Waiting()),
+        ([WatchKeys("", "p/", 5, 9)], WatchCompacted(0)),
+        ([KeepLease("", "lease-1")], LeaseLapsed()),
+        ([GrantLease("", 5)], Granted("lease-1")),
+        ([SwapWithLease("", "a", b"", 0, "lease-1")], LeaseLapsed()),
+    ],
+)
+def test_replies(calls, reply):
+    assert run([(0.0, call) for call in calls])[1] == reply
+
+
+@pytest.mark.parametrize(
+    ("kept_at_ms", "read_at_ms", "present"),
+    [(None, 9.0, True), (None, 10.0, False), (8.0, 17.0, True), (8.0, 18.0, False)],
+)
+def test_a_key_vanishes_with_its_lease(kept_at_ms, read_at_ms, present):
+    calls = [(0.0, GrantLease("", 10.0)), (0.0, SwapWithLease("", "a", b"", 0, "lease-1"))]
+    if kept_at_ms is not None:
+        calls.append((kept_at_ms, KeepLease("", "lease-1")))
+    reply = run([*calls, (read_at_ms, ReadKey("", "a"))])[1]
+    assert isinstance(reply, KeyRead) == present
+
+
+@pytest.mark.parametrize(
+    ("switches", "call", "reply", "seen", "revision"),
+    [
+        ({"outage": True}, PUT_A, Unavailable(), StoreUnreachable("HTTP 503"), 0),
+        ({"lose_replies": 1}, PUT_A, ReplyLost(), StoreUnreachable("connection lost"), 1),
+        ({"lose_calls": 1}, PUT_A, None, StoreUnreachable("connection lost"), 0),
+        ({"writes_per_s": 0.0}, PUT_A, StoreLimited(), StoreLimited(), 0),
+        ({"reads_per_s": 0.0}, ReadKey("", "a"), StoreLimited(), StoreLimited(), 0),
+    ],
+)
+def test_switches(switches, call, reply, seen, revision):
+    state = replace(StoreState(), switches=StoreSwitches(**switches))
+    called = call_store(state, call, 0.0)
+    assert reply is None or called.reply == reply
+    assert called.state.revision == revision
+    assert ask_store(state, call, 0.0)[1] == seen
+
+
+@pytest.mark.parametrize(("waiting", "allowed"), [(0, 200), (100, 190), (2000, 0)])
+def test_waiting_watches_count_against_the_read_rate(waiting, allowed):
+    state = replace(StoreState(), waiting_watches=waiting)
+    state = replace(state, reads=replace(state.reads, tokens=0.0))
+    replies = []
+    for _ in range(300):
+        called = call_store(state, ReadKey("", "a"), 100.0)
+        state = called.state
+        replies.append(called.reply)
+    assert sum(isinstance(reply, KeyAbsent) for reply in replies) == allowed
+
+
+def test_a_compacted_watch_says_so():
+    calls = [(0.0, SwapKey("", f"p/{number}", b"", 0)) for number in range(5)]
+    state, _ = run(calls, replace(StoreState(), history_limit=2))
+    assert call_store(state, WatchKeys("", "p/", 2, 9), 0.0).reply == WatchCompacted(5)
+    assert len(call_store(state, WatchKeys("", "p/", 3, 9), 0.0).reply.changes) == 2
+
+
+def test_a_restore_goes_back_in_revision():
+    state, _ = run([(0.0, PUT_A), (0.0, SwapKey("", "p/a", b"2", 1))])
+    state = restore_store(state, 1)
+    assert call_store(state, ReadKey("", "p/a"), 0.0).reply == KeyRead("p/a", b"1", 1)
+    assert call_store(state, WatchKeys("", "p/", 2, 9), 0.0).reply == WatchCompacted(1)
