Add the peer transport, the shutdown decision and two stand-ins

Cause: instances need a way to speak to each other, a planned stop that cuts nothing, and a platform to test against. Change: PeerTransport (one pynng Pull socket, one Push socket per peer that is spoken to, opened on demand and closed when idle); chart shutdown.ini and decide_shutdown; the instance list, the balancer and start_process as the first part of the harness; types of the membership messages. An empty frame of a stranger raised RuntimeError out of pynng's recv and into the reactor before; it is now counted as malformed like any other.

--- a/savoryarch/model/_instances.py
+++ b/savoryarch/model/_instances.py
@@ -98,6 +98,24 @@
     """This instance takes no new requests from now on; informs the other decisions."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingAnnounced:
+    """This instance is going to leave but still takes requests; informs the other decisions."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnfinishedChanged:
+    """The requests that this instance has accepted and not answered.
+
+    Parameters
+    ----------
+    request_ids : tuple of str
+        Every unfinished request: searches, routes, relays and claims.
+    """
+
+    request_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class SetReadiness:
     """What the balancer's readiness check gets from now on."""
--- /dev/null
+++ b/savoryarch/peers/_frame.py
@@ -0,0 +1,59 @@
+"""The frame around each peer message: who sent it, and the encoded message."""
+
+from enum import Enum
+
+import msgspec
+
+FRAME_VERSION = 1
+MAX_FRAME_BYTES = 1 << 20
+
+
+class FrameProblem(Enum):
+    """Why a frame was dropped."""
+
+    MALFORMED = "malformed"
+    UNKNOWN_VERSION = "unknown_version"
+    UNKNOWN_MESSAGE = "unknown_message"
+    OLD_INCARNATION = "old_incarnation"
+    NOT_AUTHENTIC = "not_authentic"
+
+
+class Frame(msgspec.Struct, array_like=True, frozen=True):
+    """One frame as it travels.
+
+    Parameters
+    ----------
+    version : int
+        Version of this layout.
+    sender_id : str
+        Instance id of the sender.
+    incarnation : int
+        Incarnation of the sender.
+    body : bytes
+        The encoded message.
+    """
+
+    version: int
+    sender_id: str
+    incarnation: int
+    body: bytes
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Frame)
+
+
+def write_frame(frame: Frame) -> bytes:
+    """Encode a frame."""
+    return _ENCODER.encode(frame)
+
+
+def read_frame(data: bytes) -> Frame | FrameProblem:
+    """Decode a frame, or say why it is not one."""
+    try:
+        frame = _DECODER.decode(data)
+    except msgspec.MsgspecError:
+        return FrameProblem.MALFORMED
+    if frame.version != FRAME_VERSION:
+        return FrameProblem.UNKNOWN_VERSION
+    return frame
--- /dev/null
+++ b/savoryarch/peers/_transport.py
@@ -0,0 +1,232 @@
+"""Sends and receives frames on pynng sockets, driven by the reactor."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from socket import ntohs
+from typing import Any
+
+import pynng
+from twisted.internet.interfaces import IReadDescriptor
+from zope.interface import implementer
+
+from savoryarch.exceptions import CodecError
+from savoryarch.peers._frame import (
+    FRAME_VERSION,
+    MAX_FRAME_BYTES,
+    Frame,
+    FrameProblem,
+    read_frame,
+    write_frame,
+)
+
+MAX_MESSAGES_PER_WAKE_UP = 64
+SEND_BUFFER_MESSAGES = 64
+RECEIVE_BUFFER_MESSAGES = 256
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 1000
+IDLE_PERIOD_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerCounts:
+    """What the transport calls when it sent, received or dropped a message.
+
+    Parameters
+    ----------
+    sent, received : callable
+        Called with the bytes of the frame.
+    dropped : callable
+        Called with the reason.
+    """
+
+    sent: Callable[[int], None] = lambda size_bytes: None
+    received: Callable[[int], None] = lambda size_bytes: None
+    dropped: Callable[[str], None] = lambda reason: None
+
+
+@implementer(IReadDescriptor)
+class _Receiver:
+    """Reads what has arrived on a pynng socket when its descriptor is readable."""
+
+    def __init__(self, socket: pynng.Socket, receive: Callable[[bytes], None]) -> None:
+        self._socket = socket
+        self._receive = receive
+        self._descriptor = socket.recv_fd
+
+    def fileno(self) -> int:
+        return self._descriptor
+
+    def logPrefix(self) -> str:  # noqa: N802
+        return "peers"
+
+    def doRead(self) -> None:  # noqa: N802
+        # What is left keeps the descriptor readable, so that the loop serves others in between.
+        for _ in range(MAX_MESSAGES_PER_WAKE_UP):
+            try:
+                data = self._socket.recv(block=False)
+            except (pynng.TryAgain, pynng.Closed):
+                return
+            except RuntimeError:  # pynng cannot unpack an empty message
+                data = b""
+            self._receive(data)
+
+    def connectionLost(self, reason: object) -> None:  # noqa: N802
+        self._descriptor = -1
+
+
+@dataclass(frozen=True, slots=True)
+class _Address:
+    host: str
+    port: int
+
+
+class PeerTransport:
+    """One-way messages between entry instances; a message may be lost, never block or repeat.
+
+    Each instance listens on one Pull socket and has one Push socket for each peer that it
+    speaks to. The Push socket is opened by the first message to the peer and closed when it has
+    been idle, so that an instance that knows hundreds of peers holds few connections.
+
+    Parameters
+    ----------
+    reactor : object
+        The reactor that watches the socket and keeps the time.
+    host, port : str, int
+        Address to listen on; port 0 takes a free one, see `port`.
+    instance_id : str
+        Written into each frame.
+    incarnation : int
+        Written into each frame.
+    receive : callable
+        Called with the peer's instance id and the message.
+    encode, decode : callable
+        Message to bytes and back; `decode` raises ``CodecError`` on what it does not know.
+    counts : PeerCounts, optional
+        Called for each message.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        host: str,
+        port: int,
+        instance_id: str,
+        incarnation: int,
+        receive: Callable[[str, object], None],
+        encode: Callable[[object], bytes],
+        decode: Callable[[bytes], object],
+        counts: PeerCounts | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._deliver = receive
+        self._encode = encode
+        self._decode = decode
+        self._counts = counts or PeerCounts()
+        self._addresses: dict[str, _Address] = {}
+        self._sockets: dict[str, pynng.Push0] = {}
+        self._used: set[str] = set()
+        self._incarnations: dict[str, int] = {}
+        self._listener = pynng.Pull0(
+            recv_buffer_size=RECEIVE_BUFFER_MESSAGES, recv_max_size=MAX_FRAME_BYTES
+        )
+        bound = self._listener.listen(f"tcp://{host}:{port}")
+        self.port = _port_of(bound)
+        self._receiver = _Receiver(self._listener, self._receive)
+        reactor.addReader(self._receiver)
+        self._idle_call = reactor.callLater(IDLE_PERIOD_S, self._close_idle)
+
+    def connect(self, peer_id: str, host: str, port: int) -> None:
+        """Set the address of a peer; a connection to an earlier address is closed."""
+        address = _Address(host, port)
+        if self._addresses.get(peer_id) != address:
+            self._close_socket(peer_id)
+            self._addresses[peer_id] = address
+
+    def disconnect(self, peer_id: str) -> None:
+        """Close the connection to a peer and forget its address."""
+        self._close_socket(peer_id)
+        self._addresses.pop(peer_id, None)
+        self._incarnations.pop(peer_id, None)
+
+    def send(self, peer_id: str, message: object) -> None:
+        """Send a message, or drop it if the peer is unknown or its send buffer is full."""
+        socket = self._socket_to(peer_id)
+        if socket is None:
+            self._counts.dropped("unknown_peer")
+            return
+        frame = Frame(FRAME_VERSION, self._instance_id, self._incarnation, self._encode(message))
+        data = write_frame(frame)
+        if len(data) > MAX_FRAME_BYTES:
+            self._counts.dropped("too_large")
+            return
+        try:
+            socket.send(data, block=False)
+        except pynng.TryAgain:
+            self._counts.dropped("send_buffer_full")
+            return
+        self._counts.sent(len(data))
+
+    def connection_count(self) -> int:
+        """Return the number of peers that a socket is open to."""
+        return len(self._sockets)
+
+    def close(self) -> None:
+        """Close every socket; messages that are not yet sent are lost."""
+        if self._idle_call.active():
+            self._idle_call.cancel()
+        self._reactor.removeReader(self._receiver)
+        for peer_id in list(self._sockets):
+            self._close_socket(peer_id)
+        self._listener.close()
+
+    def _receive(self, data: bytes) -> None:
+        frame = read_frame(data)
+        match frame:
+            case FrameProblem():
+                self._counts.dropped(frame.value)
+                return
+            case Frame(sender_id=sender_id, incarnation=incarnation):
+                if incarnation < self._incarnations.get(sender_id, 0):
+                    self._counts.dropped(FrameProblem.OLD_INCARNATION.value)
+                    return
+        try:
+            message = self._decode(frame.body)
+        except CodecError:
+            self._counts.dropped(FrameProblem.UNKNOWN_MESSAGE.value)
+            return
+        if sender_id in self._addresses:
+            self._incarnations[sender_id] = incarnation
+        self._counts.received(len(data))
+        self._deliver(sender_id, message)
+
+    def _socket_to(self, peer_id: str) -> pynng.Push0 | None:
+        self._used.add(peer_id)
+        socket = self._sockets.get(peer_id)
+        address = self._addresses.get(peer_id)
+        if socket is None and address is not None:
+            socket = pynng.Push0(
+                send_buffer_size=SEND_BUFFER_MESSAGES,
+                reconnect_time_min=RECONNECT_MIN_MS,
+                reconnect_time_max=RECONNECT_MAX_MS,
+            )
+            socket.dial(f"tcp://{address.host}:{address.port}", block=False)
+            self._sockets[peer_id] = socket
+        return socket
+
+    def _close_socket(self, peer_id: str) -> None:
+        socket = self._sockets.pop(peer_id, None)
+        if socket is not None:
+            socket.close()
+
+    def _close_idle(self) -> None:
+        for peer_id in [peer_id for peer_id in self._sockets if peer_id not in self._used]:
+            self._close_socket(peer_id)
+        self._used.clear()
+        self._idle_call = self._reactor.callLater(IDLE_PERIOD_S, self._close_idle)
+
+
+def _port_of(listener: pynng.Listener) -> int:
+    # The port of a socket address is in network byte order.
+    return ntohs(listener.local_address.port)
--- /dev/null
+++ b/savoryarch/peers/tests/test_transport.py
@@ -0,0 +1,141 @@
+import msgspec
+import pynng
+import pytest
+from twisted.internet.epollreactor import EPollReactor
+
+from savoryarch.exceptions import CodecError
+from savoryarch.peers import FrameProblem, PeerCounts, PeerTransport, write_frame
+from savoryarch.peers._frame import Frame
+from savoryarch.peers._transport import MAX_MESSAGES_PER_WAKE_UP, SEND_BUFFER_MESSAGES
+
+MAX_WAKE_UPS = 2000
+WAKE_UP_S = 0.01
+
+
+def decode(body):
+    try:
+        return msgspec.msgpack.decode(body)
+    except msgspec.MsgspecError as error:
+        raise CodecError(str(error)) from None
+
+
+class Peer:
+    def __init__(self, reactor, instance_id, incarnation=1):
+        self.got, self.sent, self.received, self.dropped = [], [], [], []
+        self.instance_id = instance_id
+        self.transport = PeerTransport(
+            reactor,
+            "127.0.0.1",
+            0,
+            instance_id,
+            incarnation,
+            lambda peer_id, message: self.got.append((peer_id, message)),
+            msgspec.msgpack.encode,
+            decode,
+            PeerCounts(self.sent.append, self.received.append, self.dropped.append),
+        )
+
+    def know(self, other):
+        self.transport.connect(other.instance_id, "127.0.0.1", other.transport.port)
+
+
+@pytest.fixture
+def reactor():
+    return EPollReactor()
+
+
+@pytest.fixture
+def peers(reactor):
+    made = [Peer(reactor, f"entry-{n}") for n in range(3)]
+    for peer in made:
+        for other in made:
+            peer.know(other)
+    yield made
+    for peer in made:
+        peer.transport.close()
+
+
+def run_until(reactor, condition):
+    for _ in range(MAX_WAKE_UPS):
+        if condition():
+            return
+        reactor.iterate(WAKE_UP_S)
+    raise AssertionError("the condition did not become true")
+
+
+@pytest.mark.parametrize("count", [1, MAX_MESSAGES_PER_WAKE_UP + 5])
+def test_messages_arrive_whole_and_in_order_with_their_sender(reactor, peers, count):
+    first, second, third = peers
+    for number in range(count):
+        run_until(reactor, lambda: len(first.dropped) == 0)
+        second.transport.send("entry-0", {"number": number})
+        third.transport.send("entry-0", number)
+        run_until(reactor, lambda number=number: len(first.got) >= 2 * (number + 1))
+    expected = [{"number": number} for number in range(count)]
+    assert [message for peer_id, message in first.got if peer_id == "entry-1"] == expected
+    assert [message for peer_id, message in first.got if peer_id == "entry-2"] == list(range(count))
+    assert sum(first.received) == sum(second.sent) + sum(third.sent)
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (b"", FrameProblem.MALFORMED),
+        (b"\xc1garbage", FrameProblem.MALFORMED),
+        (msgspec.msgpack.encode([1, "entry-1", "not a number", b""]), FrameProblem.MALFORMED),
+        (msgspec.msgpack.encode({"version": 1}), FrameProblem.MALFORMED),
+        (write_frame(Frame(9, "entry-1", 1, b"")), FrameProblem.UNKNOWN_VERSION),
+        (write_frame(Frame(1, "entry-1", 1, b"\xc1")), FrameProblem.UNKNOWN_MESSAGE),
+        (write_frame(Frame(1, "entry-1", 0, b"\x01")), FrameProblem.OLD_INCARNATION),
+    ],
+)
+def test_a_bad_frame_is_dropped_and_counted(reactor, peers, data, reason):
+    first, second, _ = peers
+    second.transport.send("entry-0", "before")
+    run_until(reactor, lambda: first.got)
+    with pynng.Push0() as stranger:
+        stranger.dial(f"tcp://127.0.0.1:{first.transport.port}", block=True)
+        stranger.send(data)
+        run_until(reactor, lambda: first.dropped)
+    second.transport.send("entry-0", "after")
+    run_until(reactor, lambda: len(first.got) == 2)
+    assert first.dropped == [reason.value]
+
+
+@pytest.mark.parametrize(
+    ("messages", "reason"),
+    [(SEND_BUFFER_MESSAGES * 4, "send_buffer_full"), (1, "unknown_peer")],
+)
+def test_sending_to_a_peer_that_is_not_there_never_blocks(reactor, peers, messages, reason):
+    first, second, _ = peers
+    second.transport.close()
+    if reason == "unknown_peer":
+        first.transport.disconnect("entry-1")
+    for number in range(messages):
+        first.transport.send("entry-1", number)
+    assert set(first.dropped) == {reason}
+    assert len(first.sent) + len(first.dropped) == messages
+
+
+def test_a_peer_replaced_at_another_address_gets_the_messages(reactor, peers):
+    first, second, _ = peers
+    first.transport.send("entry-1", "old")
+    run_until(reactor, lambda: second.got)
+    replacement = Peer(reactor, "entry-1", incarnation=2)
+    first.know(replacement)
+    first.transport.send("entry-1", "new")
+    run_until(reactor, lambda: replacement.got)
+    replacement.transport.close()
+    assert (second.got, replacement.got) == ([("entry-0", "old")], [("entry-0", "new")])
+
+
+def test_idle_connections_are_closed(reactor, peers):
+    first, second, _ = peers
+    first.transport.send("entry-1", 1)
+    run_until(reactor, lambda: second.got)
+    first.transport._close_idle()
+    assert first.transport.connection_count() == 1
+    first.transport._close_idle()
+    assert first.transport.connection_count() == 0
+    first.transport.send("entry-1", 2)
+    run_until(reactor, lambda: len(second.got) == 2)
--- /dev/null
+++ b/savoryarch/shutdown/_decide.py
@@ -0,0 +1,144 @@
+"""The decision of the shutdown, along the chart ``shutdown.ini``."""
+
+from dataclasses import dataclass, replace
+
+from savoryarch.charts import load_chart
+from savoryarch.model import (
+    ClearTimer,
+    Count,
+    Decided,
+    Exit,
+    Inform,
+    LeavingAnnounced,
+    LogEvent,
+    NewWorkEnded,
+    SetReadiness,
+    SetTimer,
+    Started,
+    StopAsked,
+    TimerFired,
+    UnfinishedChanged,
+)
+from savoryarch.utils import Number, setting
+
+LAG_TIMER = "shutdown/lag"
+DEADLINE_TIMER = "shutdown/deadline"
+CUT_EXIT_CODE = 1
+MAX_LOGGED_REQUESTS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownSettings:
+    """Settings of the graceful shutdown."""
+
+    balancer_lag_ms: float = setting(
+        Number(0, 600_000),
+        "Time in ms that an instance which leaves keeps taking requests, so that the balancer "
+        "notices; longer than the interval of its checks.",
+        6000.0,
+    )
+    shutdown_deadline_ms: float = setting(
+        Number(0, 3_600_000),
+        "Time in ms after which a shutdown ends and cuts what is unfinished.",
+        60_000.0,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownState:
+    """State of the shutdown.
+
+    Parameters
+    ----------
+    settings : ShutdownSettings
+        The settings.
+    chart_state : str
+        State in the chart.
+    unfinished_ids : tuple of str
+        Requests that are accepted and not answered.
+    """
+
+    settings: ShutdownSettings
+    chart_state: str
+    unfinished_ids: tuple[str, ...] = ()
+
+
+def make_shutdown_state(settings: ShutdownSettings) -> ShutdownState:
+    """Make the state of an instance that has not started yet."""
+    return ShutdownState(settings, _CHART.initial)
+
+
+def decide_shutdown(state: ShutdownState, event: object, now_ms: float) -> Decided[ShutdownState]:
+    """Decide on signals, the timers of the shutdown and the count of unfinished requests."""
+    match event:
+        case Started():
+            return Decided(state, (SetReadiness(True),))
+        case StopAsked():
+            return _step(state, "stop_asked", now_ms)
+        case TimerFired(timer_id) if timer_id == LAG_TIMER:
+            return _step(state, "lag_passed", now_ms)
+        case TimerFired(timer_id) if timer_id == DEADLINE_TIMER:
+            return _step(state, "deadline_passed", now_ms)
+        case UnfinishedChanged(request_ids):
+            state = replace(state, unfinished_ids=request_ids)
+            return Decided(state) if request_ids else _step(state, "finished", now_ms)
+        case _:
+            return Decided(state)
+
+
+def _step(state: ShutdownState, event: str, now_ms: float) -> Decided[ShutdownState]:
+    if not _CHART.accepts(state.chart_state, event):
+        return Decided(state)
+    transition = _CHART.step(state.chart_state, event)
+    state = replace(state, chart_state=transition.next_state)
+    effects: tuple[object, ...] = ()
+    for action in transition.actions:
+        effects += _perform(action, state, now_ms)
+    if "end_if_finished" in transition.actions and not state.unfinished_ids:
+        ended = _step(state, "finished", now_ms)
+        return Decided(ended.state, effects + ended.effects)
+    return Decided(state, effects)
+
+
+def _perform(action: str, state: ShutdownState, now_ms: float) -> tuple[object, ...]:
+    match action:
+        case "announce":
+            unfinished = ("unfinished", str(len(state.unfinished_ids)))
+            return (
+                SetReadiness(False),
+                Inform(LeavingAnnounced()),
+                LogEvent("shutdown_started", (unfinished,)),
+            )
+        case "start_lag":
+            return (SetTimer(LAG_TIMER, now_ms + state.settings.balancer_lag_ms),)
+        case "start_deadline":
+            return (SetTimer(DEADLINE_TIMER, now_ms + state.settings.shutdown_deadline_ms),)
+        case "end_new_work":
+            return (Inform(NewWorkEnded()), LogEvent("new_work_ended"))
+        case "exit":
+            return (ClearTimer(DEADLINE_TIMER), LogEvent("shutdown_finished"), Exit(0))
+        case "cut":
+            return _cut(state)
+        case _:
+            return ()
+
+
+def _cut(state: ShutdownState) -> tuple[object, ...]:
+    cut_ids = state.unfinished_ids
+    fields = (
+        ("cut", str(len(cut_ids))),
+        ("request_ids", ",".join(cut_ids[:MAX_LOGGED_REQUESTS])),
+    )
+    return (
+        ClearTimer(LAG_TIMER),
+        ClearTimer(DEADLINE_TIMER),
+        Count("requests_cut", "shutdown", len(cut_ids)),
+        LogEvent("shutdown_cut", fields),
+        Exit(CUT_EXIT_CODE if cut_ids else 0, cut_ids),
+    )
+
+
+_ACTIONS = frozenset(
+    {"announce", "cut", "end_if_finished", "end_new_work", "exit", "start_deadline", "start_lag"}
+)
+_CHART = load_chart("shutdown", _ACTIONS)
--- /dev/null
+++ b/savoryarch_standins/instance_list/__main__.py
@@ -0,0 +1,29 @@
+"""Runs the instance list: ``python -m savoryarch_standins.instance_list --port 0``."""
+
+from typing import Any
+
+import fire
+from twisted.internet import reactor as default_reactor
+from twisted.web.server import Site
+
+from savoryarch_standins.instance_list._app import InstanceList
+
+
+def serve(host: str = "127.0.0.1", port: int = 0) -> None:
+    """Serve the instance list until a signal.
+
+    Parameters
+    ----------
+    host : str
+        IP number to listen on.
+    port : int
+        TCP port; 0 takes a free one.
+    """
+    reactor: Any = default_reactor
+    listening = reactor.listenTCP(port, Site(InstanceList(reactor).app.resource()), interface=host)
+    print(f"ready host={host} port={listening.getHost().port}", flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    fire.Fire(serve)
