--- a/savoryarch/entry/_caller_front.py
+++ b/savoryarch/entry/_caller_front.py
@@ -162,7 +162,7 @@
 
 
 def _read_body(request: Request) -> bytes:
-    body = request.content.read()
+    body = request.content.read() if request.content else b""
     try:
         json.decode(body)
     except (DecodeError, UnicodeDecodeError, RecursionError) as error:
--- a/savoryarch/entry/_caller_site.py
+++ b/savoryarch/entry/_caller_site.py
@@ -18,6 +18,9 @@
 class CallerRequest(Request):
     """A request whose body is held in memory and never larger than `MAX_BODY_BYTES`."""
 
+    channel: Any
+    content: Any = None
+
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Take the announced length of the body; called by Twisted."""
         if length is not None and length > MAX_BODY_BYTES:
@@ -43,6 +46,8 @@
     """A connection of a caller that answers unusable requests with a typed error."""
 
     refused = False
+    site: Any = None
+    transport: Any = None
     _receive_timer: Any = None
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -53,7 +58,7 @@
             self._receive_timer = self.site.reactor.callLater(RECEIVE_TIMEOUT_S, self._too_slow)
         super().dataReceived(data)
 
-    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Note the end of the connection; called by Twisted."""
         self.stop_receive_timer()
         super().connectionLost(reason)
@@ -119,7 +124,7 @@
 
     def buildProtocol(self, address: Any) -> Any:  # noqa: N802
         """Make the protocol of one connection; called by Twisted."""
-        channel = CallerChannel()
+        channel: Any = CallerChannel()
         channel.requestFactory = self.requestFactory
         channel.site = self
         channel.factory = self
