--- /dev/null
+++ b/savoryarch/search/__init__.py
@@ -0,0 +1,29 @@
+"""Searches: fan-out over every shard, one snapshot, true coverage, hedges and retries."""
+
+from savoryarch.search._decide import decide_search
+from savoryarch.search._settings import (
+    BudgetedRetries,
+    FixedDelayHedging,
+    FixedRetries,
+    Hedging,
+    NoHedging,
+    QuantileHedging,
+    Retries,
+    SearchSettings,
+)
+from savoryarch.search._state import SearchState, make_search_state, unfinished_requests
+
+__all__ = [
+    "BudgetedRetries",
+    "FixedDelayHedging",
+    "FixedRetries",
+    "Hedging",
+    "NoHedging",
+    "QuantileHedging",
+    "Retries",
+    "SearchSettings",
+    "SearchState",
+    "decide_search",
+    "make_search_state",
+    "unfinished_requests",
+]
--- /dev/null
+++ b/savoryarch/search/_attempt_chart.py
@@ -0,0 +1,302 @@
+"""Follows the chart ``attempt``: replies, failures, and slowness before the reply."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from savoryarch.charts import load_chart
+from savoryarch.model import (
+    AttemptEnded,
+    AttemptReply,
+    ConnectionLost,
+    Count,
+    DeadlinePassed,
+    Draining,
+    LeftOutReason,
+    LogEvent,
+    MalformedReply,
+    NotSent,
+    Part,
+    PartReturned,
+    ProbeTarget,
+    Shed,
+    SnapshotNotServed,
+    TimedOut,
+)
+from savoryarch.search._query_chart import (
+    conclude,
+    give_up,
+    leave_out,
+    step_query,
+)
+from savoryarch.search._sending import (
+    arm_check,
+    cancel_attempt,
+    choose,
+    count_retry,
+    pay,
+    pinned_snapshot,
+    send_attempt,
+    wait_for_room,
+)
+from savoryarch.search._settings import (
+    BudgetedRetries,
+    FixedDelayHedging,
+    FixedRetries,
+    NoHedging,
+    QuantileHedging,
+)
+from savoryarch.search._snapshots import best_snapshot
+from savoryarch.search._state import Attempt, Purpose, Shard
+from savoryarch.search._turn import Turn, emit, put_shard
+from savoryarch.targets import can_serve, deny_snapshot, note_overdue
+
+Action = Callable[[Turn, Attempt], Turn]
+
+
+def step_attempt(turn: Turn, attempt: Attempt, event: str) -> Turn:
+    """Step one attempt of the query at hand through its chart and carry out the actions."""
+    step = CHART.step(attempt.life, event)
+    if attempt.life != step.next_state and step.next_state not in CHART.final_states:
+        attempt = replace(attempt, life=step.next_state)
+        attempts = turn.state.attempts.set(attempt.attempt_id, attempt)
+        turn = replace(turn, state=replace(turn.state, attempts=attempts))
+    for action in step.actions:
+        turn = _ACTIONS[action](turn, attempt)
+    return turn
+
+
+def is_whole_part(attempt: Attempt, reply: AttemptReply) -> bool:
+    """Return whether a reply is the whole part of the shard at the asked snapshot."""
+    match reply:
+        case PartReturned(snapshot=snapshot, complete=True):
+            return snapshot == attempt.snapshot
+        case _:
+            return False
+
+
+def check_slowness(turn: Turn) -> Turn:
+    """Judge the attempts that are later than most, and set the timer of the next check."""
+    turn = replace(turn, query=replace(turn.query, check_at_ms=float("inf")))
+    next_at_ms = float("inf")
+    for service, shard in turn.query.pending.items():
+        if not shard.attempt_ids:
+            continue
+        if shard.check_at_ms <= turn.now_ms:
+            turn = step_attempt(turn, turn.state.attempts[shard.attempt_ids[0]], "overdue")
+            shard = turn.query.pending[service]
+        next_at_ms = min(next_at_ms, shard.check_at_ms)
+    return arm_check(turn, next_at_ms)
+
+
+def _note_overdue(turn: Turn, attempt: Attempt) -> Turn:
+    """Teach the choice of targets, and look again when twice the time has passed."""
+    waited_ms = turn.now_ms - attempt.begun_at_ms
+    targets = note_overdue(turn.targets, attempt.target_id, waited_ms, turn.now_ms)
+    shard = turn.query.pending[attempt.service]
+    shard = replace(shard, check_at_ms=turn.now_ms + max(waited_ms, 1.0))
+    return put_shard(replace(turn, targets=targets), attempt.service, shard)
+
+
+def _hedge(turn: Turn, attempt: Attempt) -> Turn:
+    """Ask another replica as well, if one has room that nobody waits for."""
+    service = attempt.service
+    shard = turn.query.pending[service]
+    hedging = turn.state.settings.hedging
+    if len(shard.attempt_ids) > 1 or service in turn.state.waiting:
+        return turn
+    match hedging:
+        case NoHedging():
+            return turn
+        case FixedDelayHedging() | QuantileHedging():
+            target_id = choose(turn, service, shard.tried)
+    if target_id is None:
+        return turn
+    paid = turn if isinstance(hedging, FixedDelayHedging) else pay(turn)
+    if paid is None:
+        return emit(turn, Count("budget_spent", "hedge"))
+    turn = count_retry(paid, "hedge")
+    return send_attempt(turn, service, shard, target_id, Purpose.HEDGE)
+
+
+def _deliver(turn: Turn, attempt: Attempt) -> Turn:
+    """Add the part to the answer and cancel what else was asked for it."""
+    query = turn.query
+    ended = turn.ended
+    if ended is None or not isinstance(ended.reply, PartReturned):
+        raise AssertionError("only a returned part is delivered")
+    shard = query.pending[attempt.service]
+    part = Part(attempt.service, ended.reply.records)
+    query = replace(
+        query,
+        pending=query.pending.delete(attempt.service),
+        parts=query.parts.set(attempt.service, part),
+    )
+    turn = replace(turn, query=query)
+    for attempt_id in shard.attempt_ids:
+        if attempt_id != attempt.attempt_id:
+            turn = cancel_attempt(turn, attempt_id)
+    return conclude(turn)
+
+
+def _discard(turn: Turn, attempt: Attempt) -> Turn:
+    return emit(turn, Count("replies_discarded", attempt.purpose.value))
+
+
+def _cancel(turn: Turn, attempt: Attempt) -> Turn:
+    return cancel_attempt(turn, attempt.attempt_id)
+
+
+def _recover(turn: Turn, attempt: Attempt) -> Turn:
+    """Wait for the other attempt, ask another replica, or leave the shard out."""
+    ended = turn.ended
+    if ended is None:
+        raise AssertionError("an attempt fails by its end")
+    reason = failure_reason(ended.reply)
+    turn = _note_failure(turn, attempt, ended, reason)
+    shard = turn.query.pending[attempt.service]
+    if shard.attempt_ids:
+        return turn
+    due_at_ms = turn.query.deadline_at_ms - turn.state.settings.answer_margin_ms
+    if reason is LeftOutReason.LATE or turn.now_ms >= due_at_ms:
+        return conclude(leave_out(turn, attempt.service, reason))
+    if isinstance(ended.reply, Shed):
+        return _retry_shed(turn, attempt.service, shard)
+    return conclude(_retry(turn, attempt.service, shard, reason))
+
+
+def _note_failure(turn: Turn, attempt: Attempt, ended: AttemptEnded, reason: LeftOutReason) -> Turn:
+    shard = turn.query.pending[attempt.service]
+    rest = tuple(item for item in shard.attempt_ids if item != attempt.attempt_id)
+    tried = shard.tried - {attempt.target_id} if isinstance(ended.reply, Shed) else shard.tried
+    turn = put_shard(
+        turn,
+        attempt.service,
+        replace(shard, attempt_ids=rest, tried=tried, failure=reason),
+    )
+    if reason is LeftOutReason.SNAPSHOT:
+        targets = deny_snapshot(turn.targets, attempt.target_id, attempt.snapshot)
+        turn = replace(turn, targets=targets)
+    if cannot_have_run(ended.reply):
+        query = replace(turn.query, may_have_run=turn.query.may_have_run - 1)
+        turn = replace(turn, query=query)
+    match ended.reply:
+        case ConnectionLost() | NotSent():
+            return emit(turn, ProbeTarget(attempt.target_id))
+        case MalformedReply(detail=detail):
+            fields = (("target", attempt.target_id), ("detail", detail))
+            return emit(turn, LogEvent("malformed_reply", fields))
+        case _:
+            return turn
+
+
+def _retry_shed(turn: Turn, service: str, shard: Shard) -> Turn:
+    """Ask another replica at once if the budget allows it; else wait until the pause is over."""
+    target_id = choose(turn, service, shard.tried)
+    paid = _pay_retry(turn, shard) if target_id is not None else None
+    if target_id is None or paid is None:
+        return wait_for_room(turn, service, shard)
+    return _send_retry(paid, service, shard, target_id, "shed")
+
+
+def _retry(turn: Turn, service: str, shard: Shard, reason: LeftOutReason) -> Turn:
+    """Ask another replica, wait for one to have room, or leave the shard out."""
+    if not can_serve(turn.targets, service, shard.tried, turn.query.snapshot):
+        return _restart(turn, service, reason)
+    target_id = choose(turn, service, shard.tried)
+    paid = _pay_retry(turn, shard)
+    if paid is None:
+        return leave_out(turn, service, reason)
+    if target_id is None:
+        return wait_for_room(turn, service, shard)
+    return _send_retry(paid, service, shard, target_id, reason.value)
+
+
+def _pay_retry(turn: Turn, shard: Shard) -> Turn | None:
+    match turn.state.settings.retries:
+        case FixedRetries(count=count):
+            return turn if shard.retries < count else None
+        case BudgetedRetries(count=count):
+            return pay(turn) if shard.retries < count else None
+
+
+def _send_retry(turn: Turn, service: str, shard: Shard, target_id: str, reason: str) -> Turn:
+    shard = replace(shard, retries=shard.retries + 1)
+    turn = count_retry(turn, reason)
+    return send_attempt(turn, service, shard, target_id, Purpose.RETRY)
+
+
+def _restart(turn: Turn, service: str, reason: LeftOutReason) -> Turn:
+    """Start the whole query again at another snapshot if that can end in time."""
+    query = turn.query
+    spent_ms = turn.now_ms - query.asked_at_ms
+    left_ms = query.deadline_at_ms - turn.now_ms
+    too_late = query.restarts >= turn.state.settings.max_restarts or left_ms < spent_ms
+    if reason is not LeftOutReason.SNAPSHOT or too_late:
+        return leave_out(turn, service, reason)
+    snapshot = best_snapshot(turn.targets, query.search, frozenset({pinned_snapshot(turn)}))
+    paid = pay(turn, len(query.services)) if snapshot is not None else None
+    if paid is None:
+        return leave_out(turn, service, reason)
+    turn = replace(paid, query=replace(paid.query, snapshot=snapshot))
+    return step_query(count_retry(turn, "restart"), "restarted")
+
+
+def resume_waiting(turn: Turn, service: str) -> Turn | None:
+    """Send the attempt of a shard that waited for room; None if there is none yet.
+
+    Waiting for the pause after a shed is paid for by the wait; other retries are paid for here.
+    """
+    shard = turn.query.pending[service]
+    if not can_serve(turn.targets, service, shard.tried, turn.query.snapshot):
+        return conclude(give_up(turn, service, shard))
+    target_id = choose(turn, service, shard.tried)
+    if target_id is None:
+        return None
+    if shard.failure is None:
+        return send_attempt(turn, service, shard, target_id, Purpose.FIRST)
+    if shard.failure is LeftOutReason.REFUSED:
+        return _send_retry(turn, service, shard, target_id, "waited")
+    paid = _pay_retry(turn, shard)
+    if paid is None:
+        return conclude(leave_out(turn, service, shard.failure))
+    return _send_retry(paid, service, shard, target_id, shard.failure.value)
+
+
+def failure_reason(reply: AttemptReply) -> LeftOutReason:
+    """Return why a shard is left out if this was the end of its last attempt."""
+    match reply:
+        case PartReturned(complete=False):
+            return LeftOutReason.CUT_SHORT
+        case PartReturned() | SnapshotNotServed():
+            return LeftOutReason.SNAPSHOT
+        case Shed() | Draining():
+            return LeftOutReason.REFUSED
+        case DeadlinePassed() | TimedOut():
+            return LeftOutReason.LATE
+        case MalformedReply():
+            return LeftOutReason.MALFORMED
+        case _:
+            return LeftOutReason.LOST
+
+
+def cannot_have_run(reply: AttemptReply) -> bool:
+    """Return whether a failed attempt left no work at a target."""
+    match reply:
+        case SnapshotNotServed() | Shed() | Draining() | NotSent():
+            return True
+        case DeadlinePassed(not_run=not_run):
+            return not_run
+        case _:
+            return False
+
+
+_ACTIONS: dict[str, Action] = {
+    "note_overdue": _note_overdue,
+    "hedge": _hedge,
+    "deliver": _deliver,
+    "recover": _recover,
+    "cancel": _cancel,
+    "discard": _discard,
+}
+
+CHART = load_chart("attempt", frozenset(_ACTIONS))
--- /dev/null
+++ b/savoryarch/search/_snapshots.py
@@ -0,0 +1,69 @@
+"""Chooses the one snapshot of a query."""
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from savoryarch.model import Search, ShardMap, SnapshotId
+from savoryarch.search._state import ChosenSnapshot, SearchState
+from savoryarch.targets import TargetsState
+
+
+def shards_of(search: Search, snapshot: SnapshotId) -> tuple[str, ...]:
+    """Return the services of the snapshot's shard map, each once."""
+    for shard_map in search.shard_maps:
+        if shard_map.version == snapshot.shard_map:
+            return tuple(dict.fromkeys(shard_map.services))
+    return ()
+
+
+def choose_snapshot(
+    state: SearchState, targets: TargetsState, search: Search
+) -> tuple[SearchState, SnapshotId | None]:
+    """Return the snapshot for a new query, from memory while nothing has changed.
+
+    Parameters
+    ----------
+    state : SearchState
+        Remembers the choice.
+    targets : TargetsState
+        What each shard is believed to serve.
+    search : Search
+        The declared search.
+    """
+    revision = targets.snapshots_revision
+    chosen = state.chosen.get(search.name)
+    if chosen is None or chosen.revision != revision:
+        chosen = ChosenSnapshot(revision, best_snapshot(targets, search, frozenset()))
+        state = replace(state, chosen=state.chosen.set(search.name, chosen))
+    return state, chosen.snapshot
+
+
+def best_snapshot(
+    targets: TargetsState, search: Search, exclude: frozenset[SnapshotId]
+) -> SnapshotId | None:
+    """Return the snapshot that most shards serve; of these one with spare replicas, the newest."""
+    best: tuple[int, bool, SnapshotId] | None = None
+    for shard_map in search.shard_maps:
+        for rank in _ranks(targets, shard_map):
+            if rank[2] not in exclude and (best is None or rank > best):
+                best = rank
+    return best[2] if best else None
+
+
+def _ranks(targets: TargetsState, shard_map: ShardMap) -> Iterator[tuple[int, bool, SnapshotId]]:
+    """Yield for each snapshot how many shards miss it (negative) and whether replicas are spare."""
+    served: dict[SnapshotId, int] = {}
+    scarce: set[SnapshotId] = set()
+    services = dict.fromkeys(shard_map.services)
+    for name in services:
+        service = targets.services.get(name)
+        if service is None:
+            continue
+        enough = min(2, len(service.target_ids))
+        for snapshot, replicas in service.served.items():
+            if snapshot.shard_map == shard_map.version:
+                served[snapshot] = served.get(snapshot, 0) + 1
+                if replicas < enough:
+                    scarce.add(snapshot)
+    for snapshot, shards in served.items():
+        yield shards - len(services), snapshot not in scarce, snapshot
--- /dev/null
+++ b/savoryarch/search/_state.py
@@ -0,0 +1,207 @@
+"""Queries, their shards and their attempts."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from immutables import Map
+
+from savoryarch.model import (
+    Declarations,
+    LeftOutReason,
+    Part,
+    Preference,
+    Priority,
+    RefusalReason,
+    Search,
+    SearchAsked,
+    SnapshotId,
+)
+from savoryarch.search._budget import Budget
+from savoryarch.search._settings import SearchSettings
+
+
+class Purpose(Enum):
+    """Why an attempt is sent; all but the first draw on the extra-load budget."""
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One sub-request that has not ended.
+
+    Parameters
+    ----------
+    attempt_id, request_id, service, target_id : str
+        What it is, for whom, of which shard and where.
+    life : str
+        State in the chart ``attempt``.
+    purpose : Purpose
+        Why it was sent.
+    snapshot : SnapshotId
+        What it asked for.
+    begun_at_ms : float
+        When it was sent.
+    """
+
+    attempt_id: str
+    request_id: str
+    service: str
+    target_id: str
+    life: str
+    purpose: Purpose
+    snapshot: SnapshotId
+    begun_at_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Shard:
+    """A shard whose part is still expected.
+
+    Parameters
+    ----------
+    attempt_ids : tuple of str
+        Its wanted attempts in flight, the oldest first.
+    tried : frozenset of str
+        Targets that were asked.
+    retries : int
+        Retries sent.
+    check_at_ms : float
+        When its slowness is judged next.
+    failure : LeftOutReason or None
+        Of its last attempt that failed.
+    """
+
+    attempt_ids: tuple[str, ...] = ()
+    tried: frozenset[str] = frozenset()
+    retries: int = 0
+    check_at_ms: float = float("inf")
+    failure: LeftOutReason | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """One search of a caller that has no answer yet.
+
+    Parameters
+    ----------
+    asked : SearchAsked
+        What the caller asked.
+    search : Search
+        As declared when it was asked.
+    asked_at_ms, deadline_at_ms : float
+        When it was asked, and when the answer is due.
+    priority : Priority
+        The caller's or the declared one.
+    life : str
+        State in the chart ``query``.
+    snapshot : SnapshotId or None
+        The only snapshot of the answer.
+    services : tuple of str
+        The shards of the snapshot's shard map.
+    pending : Map
+        `Shard` by service; those without an outcome.
+    parts : Map
+        `Part` by service.
+    left_out : Map
+        `LeftOutReason` by service.
+    may_have_run : int
+        Sub-requests that a target may have run.
+    restarts : int
+        Times that it was restarted at another snapshot.
+    check_at_ms : float
+        When the timer is due that judges the slowness of its attempts.
+    refusal : RefusalReason
+        Why it is refused, if it is.
+    """
+
+    asked: SearchAsked
+    search: Search
+    asked_at_ms: float
+    deadline_at_ms: float
+    priority: Priority
+    life: str
+    snapshot: SnapshotId | None = None
+    services: tuple[str, ...] = ()
+    pending: Map[str, Shard] = field(default_factory=Map)
+    parts: Map[str, Part] = field(default_factory=Map)
+    left_out: Map[str, LeftOutReason] = field(default_factory=Map)
+    may_have_run: int = 0
+    restarts: int = 0
+    check_at_ms: float = float("inf")
+    refusal: RefusalReason = RefusalReason.COVERAGE_TOO_LOW
+
+    @property
+    def request_id(self) -> str:
+        """Id of the caller's request."""
+        return self.asked.request_id
+
+    @property
+    def prefers_latency(self) -> bool:
+        """Whether the search is answered early rather than whole."""
+        return self.search.prefer is Preference.LATENCY
+
+
+@dataclass(frozen=True, slots=True)
+class ChosenSnapshot:
+    """The snapshot that new queries of a search use, until what is served changes.
+
+    Parameters
+    ----------
+    revision : int
+        `TargetsState.snapshots_revision` when it was chosen.
+    snapshot : SnapshotId or None
+        None if no shard serves any.
+    """
+
+    revision: int
+    snapshot: SnapshotId | None
+
+
+@dataclass(frozen=True, slots=True)
+class SearchState:
+    """All searches of this instance.
+
+    Parameters
+    ----------
+    settings : SearchSettings
+        Fixed from start to end.
+    declarations : Declarations
+        In force here.
+    queries : Map
+        `Query` by request id; those without an answer.
+    attempts : Map
+        `Attempt` by attempt id; those that have not ended, wanted or not.
+    waiting : Map
+        Request ids by service, of the shards that wait for room at a target.
+    budgets : Map
+        `Budget` by search.
+    chosen : Map
+        `ChosenSnapshot` by search.
+    sent : int
+        Attempts sent; the next attempt id.
+    stopping : bool
+        Whether new requests are refused.
+    """
+
+    settings: SearchSettings
+    declarations: Declarations = field(default_factory=Declarations)
+    queries: Map[str, Query] = field(default_factory=Map)
+    attempts: Map[str, Attempt] = field(default_factory=Map)
+    waiting: Map[str, tuple[str, ...]] = field(default_factory=Map)
+    budgets: Map[str, Budget] = field(default_factory=Map)
+    chosen: Map[str, ChosenSnapshot] = field(default_factory=Map)
+    sent: int = 0
+    stopping: bool = False
+
+
+def make_search_state(settings: SearchSettings) -> SearchState:
+    """Make the state of an instance that has no configuration yet."""
+    return SearchState(settings=settings)
+
+
+def unfinished_requests(state: SearchState) -> tuple[str, ...]:
+    """Return the ids of the requests that have no answer yet."""
+    return tuple(state.queries)
--- /dev/null
+++ b/savoryarch/targets/__init__.py
@@ -0,0 +1,38 @@
+"""Targets: whether they are live, what they serve, and how much of each may be used."""
+
+from savoryarch.targets._attempts import begin_attempt, deny_snapshot, end_attempt, note_overdue
+from savoryarch.targets._choose import can_serve, choose_target
+from savoryarch.targets._decide import decide_targets
+from savoryarch.targets._limits import connection_share, in_flight_limit
+from savoryarch.targets._settings import (
+    ChoicePolicy,
+    LeastExpectedLatency,
+    RoundRobin,
+    TargetsSettings,
+)
+from savoryarch.targets._state import (
+    ServiceRecord,
+    TargetRecord,
+    TargetsState,
+    make_targets_state,
+)
+
+__all__ = [
+    "ChoicePolicy",
+    "LeastExpectedLatency",
+    "RoundRobin",
+    "ServiceRecord",
+    "TargetRecord",
+    "TargetsSettings",
+    "TargetsState",
+    "begin_attempt",
+    "can_serve",
+    "choose_target",
+    "connection_share",
+    "decide_targets",
+    "deny_snapshot",
+    "end_attempt",
+    "in_flight_limit",
+    "make_targets_state",
+    "note_overdue",
+]
--- /dev/null
+++ b/savoryarch/targets/_choose.py
@@ -0,0 +1,95 @@
+"""Chooses the target of an attempt."""
+
+from savoryarch.model import SnapshotId
+from savoryarch.targets._latency import expected_latency_ms
+from savoryarch.targets._life import LIVE
+from savoryarch.targets._limits import in_flight_limit
+from savoryarch.targets._settings import LeastExpectedLatency, RoundRobin
+from savoryarch.targets._state import TargetRecord, TargetsState
+
+_SLOW_RATIO = 2.0  # below it, differences in latency are taken for noise
+
+
+def choose_target(
+    state: TargetsState,
+    service: str,
+    *,
+    exclude: frozenset[str],
+    snapshot: SnapshotId | None,
+    now_ms: float,
+) -> str | None:
+    """Choose a live target that has room for one more attempt of this instance.
+
+    Parameters
+    ----------
+    state : TargetsState
+        What is known of the targets.
+    service : str
+        The service to be reached.
+    exclude : frozenset of str
+        Targets that must not be chosen.
+    snapshot : SnapshotId or None
+        The snapshot that the target has to serve, if any.
+    now_ms : float
+        Current time.
+
+    Returns
+    -------
+    target_id : str or None
+        None if no target has room.
+    """
+    declared = state.services.get(service)
+    if declared is None:
+        return None
+    usual_ms = declared.median.value_ms
+    best: tuple[float, float] | None = None
+    chosen: str | None = None
+    for target_id in declared.target_ids:
+        if target_id in exclude:
+            continue
+        record = state.records[target_id]
+        if not _has_room(record, snapshot, now_ms):
+            continue
+        rank = (_cost_ms(state, record, usual_ms, now_ms), record.begun_at_ms)
+        if best is None or rank < best:
+            best, chosen = rank, target_id
+    return chosen
+
+
+def can_serve(
+    state: TargetsState, service: str, exclude: frozenset[str], snapshot: SnapshotId | None
+) -> bool:
+    """Return whether a live target outside of `exclude` serves the snapshot, room or not."""
+    declared = state.services.get(service)
+    if declared is None:
+        return False
+    return any(
+        _is_usable(state.records[target_id], snapshot)
+        for target_id in declared.target_ids
+        if target_id not in exclude
+    )
+
+
+def _is_usable(record: TargetRecord, snapshot: SnapshotId | None) -> bool:
+    return record.life == LIVE and (snapshot is None or snapshot in record.snapshots)
+
+
+def _has_room(record: TargetRecord, snapshot: SnapshotId | None, now_ms: float) -> bool:
+    if not _is_usable(record, snapshot):
+        return False
+    return record.in_flight < in_flight_limit(record, now_ms)
+
+
+def _cost_ms(state: TargetsState, record: TargetRecord, usual_ms: float, now_ms: float) -> float:
+    settings = state.settings
+    match settings.choice:
+        case RoundRobin():
+            return 0.0
+        case LeastExpectedLatency():
+            expected_ms = expected_latency_ms(
+                record.recent, usual_ms, settings.slow_half_life_ms, now_ms
+            )
+            slow_ms = expected_ms - usual_ms if expected_ms > _SLOW_RATIO * usual_ms else 0.0
+            busy_ms = usual_ms * record.in_flight / record.slots
+            near = record.target.availability_zone == settings.availability_zone
+            return slow_ms + busy_ms + (0.0 if near else settings.zone_distance_ms)
--- /dev/null
+++ b/savoryarch/targets/_decide.py
@@ -0,0 +1,207 @@
+"""Decides what to do about targets: probes, connections and where new work may go."""
+
+from dataclasses import replace
+
+from immutables import Map
+
+from savoryarch.model import (
+    Decided,
+    Declarations,
+    DeclarationsInForce,
+    InstanceRole,
+    InstancesListed,
+    LimitConnections,
+    ListedInstance,
+    ListedState,
+    OpenConnections,
+    PeersChanged,
+    ProbeTarget,
+    Service,
+    SetTimer,
+    Sign,
+    SnapshotId,
+    Target,
+    TargetSigned,
+    TimerFired,
+)
+from savoryarch.targets._life import DRAINING, LIVE, Lived, apply_sign, put_record
+from savoryarch.targets._limits import connection_share, first_limit
+from savoryarch.targets._state import ServiceRecord, TargetRecord, TargetsState
+
+PROBE_TIMER = "targets/probe"
+
+
+def decide_targets(state: TargetsState, event: object, now_ms: float) -> Decided[TargetsState]:
+    """Decide on signs of the targets' state.
+
+    Parameters
+    ----------
+    state : TargetsState
+        Before the event.
+    event : object
+        Any event; those that do not concern the targets change nothing.
+    now_ms : float
+        Time of the event.
+    """
+    match event:
+        case DeclarationsInForce(declarations=declarations):
+            return _declare(state, declarations, now_ms)
+        case TargetSigned():
+            return _sign(state, event, now_ms)
+        case InstancesListed(instances=instances):
+            return _list(state, instances, now_ms)
+        case PeersChanged(live=live):
+            return Decided(replace(state, live_instances=len(live) + 1))
+        case TimerFired(timer_id=timer_id) if timer_id == PROBE_TIMER:
+            return _probe(state, now_ms)
+        case _:
+            return Decided(state)
+
+
+def _declare(
+    state: TargetsState, declarations: Declarations, now_ms: float
+) -> Decided[TargetsState]:
+    """Take over the declared targets and keep what is known of those that stay."""
+    effects: list[object] = []
+    records: Map[str, TargetRecord] = Map()
+    services: Map[str, ServiceRecord] = Map()
+    for service in declarations.services.values():
+        for target in service.targets:
+            record = _declared_record(state, service, target)
+            records = records.set(target.target_id, record)
+            if state.records.get(target.target_id) != record:
+                effects += _connections(state, record)
+        services = services.set(service.name, _declared_service(state, service, records))
+    gone = [target_id for target_id in state.records if target_id not in records]
+    effects += [LimitConnections(target_id, 0) for target_id in gone]
+    effects.append(SetTimer(PROBE_TIMER, now_ms + state.settings.probe_retry_ms))
+    state = replace(
+        state,
+        records=records,
+        services=services,
+        declared=declarations.services,
+        snapshots_revision=state.snapshots_revision + 1,
+    )
+    return Decided(state, tuple(effects))
+
+
+def _declared_record(state: TargetsState, service: Service, target: Target) -> TargetRecord:
+    max_connections = connection_share(service.connection_limit, state.settings)
+    old = state.records.get(target.target_id)
+    if old is None or old.target != target:
+        return TargetRecord(
+            target=target,
+            slots=service.slots,
+            max_connections=max_connections,
+            life="unproven",
+            limit=first_limit(service.slots, state.live_instances),
+            in_flight=old.in_flight if old else 0,
+        )
+    limit = min(old.limit, float(service.slots))
+    return replace(old, slots=service.slots, max_connections=max_connections, limit=limit)
+
+
+def _declared_service(
+    state: TargetsState, service: Service, records: Map[str, TargetRecord]
+) -> ServiceRecord:
+    served: dict[SnapshotId, int] = {}
+    for target in service.targets:
+        record = records[target.target_id]
+        for snapshot in record.snapshots if record.life == LIVE else ():
+            served[snapshot] = served.get(snapshot, 0) + 1
+    old = state.services.get(service.name, ServiceRecord(()))
+    target_ids = tuple(target.target_id for target in service.targets)
+    return replace(old, target_ids=target_ids, served=Map(served))
+
+
+def _connections(state: TargetsState, record: TargetRecord) -> tuple[object, ...]:
+    target_id = record.target.target_id
+    ready = min(state.settings.ready_connections, record.max_connections)
+    return (
+        LimitConnections(target_id, record.max_connections),
+        OpenConnections(target_id, ready),
+        ProbeTarget(target_id),
+    )
+
+
+def _sign(state: TargetsState, signed: TargetSigned, now_ms: float) -> Decided[TargetsState]:
+    record = state.records.get(signed.target_id)
+    if record is None:
+        return Decided(state)
+    lived = Lived(state)
+    match signed.sign:
+        case Sign.PROBE_ANSWERED:
+            state = _hint_snapshots(state, record, signed, now_ms)
+            lived = apply_sign(state, signed.target_id, "proved", now_ms)
+        case Sign.CONNECTED if record.life != DRAINING:
+            # a draining target may still accept connections
+            lived = apply_sign(state, signed.target_id, "proved", now_ms)
+        case Sign.PROBE_DRAINING | Sign.LISTED_LEAVING:
+            lived = apply_sign(state, signed.target_id, "draining", now_ms)
+        case Sign.CONNECTION_REFUSED:
+            lived = apply_sign(state, signed.target_id, "lost", now_ms)
+        case Sign.CONNECTION_CLOSED:
+            lived = apply_sign(state, signed.target_id, "closed", now_ms)
+        case Sign.PROBE_FAILED if now_ms - record.replied_at_ms >= state.settings.health_lag_ms:
+            lived = apply_sign(state, signed.target_id, "unheard", now_ms)
+        case _:
+            pass
+    effects = lived.effects + _reconnect(record, lived.state)
+    return Decided(lived.state, effects)
+
+
+def _reconnect(old: TargetRecord, state: TargetsState) -> tuple[object, ...]:
+    """Hold no connection to a draining target, and hold some again when it returns."""
+    record = state.records[old.target.target_id]
+    if record.life == old.life:
+        return ()
+    target_id = record.target.target_id
+    if record.life == DRAINING:
+        return (OpenConnections(target_id, 0),)
+    if record.life == LIVE:
+        ready = min(state.settings.ready_connections, record.max_connections)
+        return (OpenConnections(target_id, ready),)
+    return ()
+
+
+def _hint_snapshots(
+    state: TargetsState, record: TargetRecord, signed: TargetSigned, now_ms: float
+) -> TargetsState:
+    """Take over what a probe says, unless a reply said something newer."""
+    lag_ms = state.settings.health_lag_ms
+    if not signed.snapshots or now_ms - record.replied_at_ms < lag_ms:
+        return state
+    snapshots = frozenset(signed.snapshots) - {record.denied}
+    return put_record(state, replace(record, snapshots=snapshots))
+
+
+def _list(
+    state: TargetsState, instances: tuple[ListedInstance, ...], now_ms: float
+) -> Decided[TargetsState]:
+    """Read the signs in the platform's list; a target that is missing is probed, not dropped."""
+    effects: list[object] = []
+    rows = {row.instance_id: row for row in instances if row.role is InstanceRole.TARGET}
+    for target_id, record in state.records.items():
+        row = rows.get(target_id)
+        if row is not None and row.state is ListedState.LEAVING:
+            decided = _sign(state, TargetSigned(target_id, Sign.LISTED_LEAVING), now_ms)
+            state = decided.state
+            effects += decided.effects
+        elif row is None and record.listed:
+            effects.append(ProbeTarget(target_id))
+        if (row is not None) != record.listed:
+            record = replace(state.records[target_id], listed=row is not None)
+            state = replace(state, records=state.records.set(target_id, record))
+    return Decided(state, tuple(effects))
+
+
+def _probe(state: TargetsState, now_ms: float) -> Decided[TargetsState]:
+    """Probe targets that get no work, and those in doubt more often."""
+    settings = state.settings
+    effects: list[object] = []
+    for target_id, record in state.records.items():
+        quiet_ms = now_ms - max(record.replied_at_ms, record.heard_at_ms)
+        if record.life != LIVE or quiet_ms >= settings.probe_interval_ms:
+            effects.append(ProbeTarget(target_id))
+    effects.append(SetTimer(PROBE_TIMER, now_ms + settings.probe_retry_ms))
+    return Decided(state, tuple(effects))
--- /dev/null
+++ b/savoryarch/targets/_state.py
@@ -0,0 +1,124 @@
+"""What this instance knows of each target."""
+
+from dataclasses import dataclass, field
+
+from immutables import Map
+
+from savoryarch.model import Service, SnapshotId, Target
+from savoryarch.targets._latency import Quantile, RecentLatency
+from savoryarch.targets._settings import TargetsSettings
+
+MEDIAN_SHARE = 0.5
+TAIL_SHARE = 0.955  # a little below the usual budget of 5% extra requests
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRecord:
+    """What this instance knows of one target.
+
+    Parameters
+    ----------
+    target : Target
+        As declared.
+    slots : int
+        Requests that the target runs at a time, for all instances together.
+    max_connections : int
+        This instance's share of the target's connections.
+    life : str
+        State in the chart ``target``.
+    in_flight : int
+        Attempts of this instance that have not ended.
+    limit : float
+        Attempts that this instance may have in flight, learned from sheds; at most `slots`.
+    paused_until_at_ms : float
+        No new work before this time, because the target shed.
+    warm_at_ms : float
+        Until this time it gets one request at a time.
+    negative_at_ms : float
+        Last negative sign.
+    heard_at_ms : float
+        Last positive sign.
+    begun_at_ms, begun : float, int
+        When the last attempt began, and how many have begun.
+    recent : RecentLatency
+        Of its replies.
+    snapshots : frozenset of SnapshotId
+        What it is believed to serve.
+    replied_at_ms : float
+        When a reply last said what it serves; probes lag behind replies.
+    denied : SnapshotId or None
+        A snapshot that it last said it does not serve.
+    listed : bool
+        Whether the last instance list that was read named it.
+    """
+
+    target: Target
+    slots: int
+    max_connections: int
+    life: str
+    in_flight: int = 0
+    limit: float = 1.0
+    paused_until_at_ms: float = 0.0
+    warm_at_ms: float = 0.0
+    negative_at_ms: float = float("-inf")
+    heard_at_ms: float = float("-inf")
+    begun_at_ms: float = float("-inf")
+    begun: int = 0
+    recent: RecentLatency = RecentLatency()
+    snapshots: frozenset[SnapshotId] = frozenset()
+    replied_at_ms: float = float("-inf")
+    denied: SnapshotId | None = None
+    listed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRecord:
+    """What this instance knows of one service.
+
+    Parameters
+    ----------
+    target_ids : tuple of str
+        Its replicas.
+    median, tail : Quantile
+        Of the latency of its targets together.
+    served : Map
+        Live targets per snapshot.
+    """
+
+    target_ids: tuple[str, ...]
+    median: Quantile = Quantile(MEDIAN_SHARE)
+    tail: Quantile = Quantile(TAIL_SHARE)
+    served: Map[SnapshotId, int] = field(default_factory=Map)
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsState:
+    """What this instance knows of all targets.
+
+    Parameters
+    ----------
+    settings : TargetsSettings
+        Fixed from start to end.
+    records : Map
+        `TargetRecord` by target id.
+    services : Map
+        `ServiceRecord` by service.
+    declared : Map
+        Services as declared, by name.
+    snapshots_revision : int
+        Ascends when what a service serves changes.
+    live_instances : int
+        Entry instances that share the targets, this one included.
+    """
+
+    settings: TargetsSettings
+    records: Map[str, TargetRecord] = field(default_factory=Map)
+    services: Map[str, ServiceRecord] = field(default_factory=Map)
+    declared: Map[str, Service] = field(default_factory=Map)
+    snapshots_revision: int = 0
+    live_instances: int = 1
+
+
+def make_targets_state(settings: TargetsSettings) -> TargetsState:
+    """Make the state of an instance that has no configuration yet."""
+    return TargetsState(settings=settings, live_instances=settings.entry_instances)
