--- /dev/null
+++ b/savoryarch/store/_settings.py
@@ -0,0 +1,28 @@
+"""Settings of the store client."""
+
+from dataclasses import dataclass
+
+from savoryarch.utils import URL, Number, setting
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """Settings of the store client.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the store.
+    timeout_ms : float
+        Time after which a call counts as unreachable; a watch gets its own wait on top.
+    connections : int
+        Idle connections that are kept.
+    """
+
+    url: str = setting(URL, "Base URL of the platform's store.", "http://127.0.0.1:7000")
+    timeout_ms: float = setting(
+        Number(10.0, 60_000.0), "Time after which a call on the store counts as failed.", 1000.0
+    )
+    connections: int = setting(
+        Number(1, 100, whole=True), "Idle connections to the store that are kept.", 8
+    )
