Add the target stand-in with its chart, switches and counts

Cause: searches, orders and the demonstration need targets that shed, drain, freeze, crash, lag and lie. Change: savoryarch_standins/target decides purely over target.ini; a Twisted shell serves one port per declared target and one control port per process. Conclusion: the protocol of docs/PLATFORM.md can be exercised by tests.

--- /dev/null
+++ b/savoryarch_standins/target/__main__.py
@@ -0,0 +1,68 @@
+"""Runs target stand-ins: ``python -m savoryarch_standins.target --settings FILE``."""
+
+import os
+import sys
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from fire import Fire
+from twisted.internet import reactor as default_reactor
+from twisted.web.server import Site
+
+from savoryarch.utils import format_findings, make_system_clock
+from savoryarch_standins.target._model import TargetSpec
+from savoryarch_standins.target._server import ControlResource, TargetResource, TargetServer
+from savoryarch_standins.target._settings import TargetsSettings, read_settings
+
+_CRASH_EXIT_CODE = 70
+
+reactor: Any = default_reactor
+
+
+def serve(settings: str, target: str = "", port: int = 0, seed: int = 0) -> None:
+    """Serve target stand-ins until the process is ended.
+
+    Parameters
+    ----------
+    settings : str
+        Path of an INI file; see ``savoryarch_standins/target/_settings.py``.
+    target : str
+        Serve only this target (names separated by commas); all of them if empty.
+    port : int
+        TCP port of a single target; 0 takes a free one.
+    seed : int
+        Replaces the seed of the settings.
+    """
+    path = Path(settings)
+    read = read_settings(path.read_text(encoding="utf-8"), path.name)
+    if read.findings:
+        sys.exit(format_findings(read.findings))
+    names = str(target).split(",") if target else []
+    specs = [spec for spec in read.settings.specs if not names or spec.target_id in names]
+    if not specs:
+        sys.exit(f"target {target!r} is not declared in {settings}")
+    if port:
+        specs = [replace(specs[0], port=port)]
+    _listen(read.settings, specs, seed or read.settings.standin.seed)
+    reactor.run()
+
+
+def _listen(settings: TargetsSettings, specs: list[TargetSpec], seed: int) -> None:
+    host = settings.standin.host
+    clock = make_system_clock()
+    servers: list[TargetServer] = []
+    ports: list[str] = []
+    for spec in specs:
+        server = TargetServer(
+            spec, settings.behaviour, seed, reactor, clock, lambda: os._exit(_CRASH_EXIT_CODE)
+        )
+        server.serve(TargetResource(server))
+        servers.append(server)
+        ports.append(f"{spec.target_id}:{server.listen(host)}")
+    control = reactor.listenTCP(0, Site(ControlResource(servers)), interface=host).getHost().port
+    print(f"ready host={host} ports={','.join(ports)} control={control}", flush=True)
+
+
+if __name__ == "__main__":
+    Fire(serve)
--- /dev/null
+++ b/savoryarch_standins/target/_decide.py
@@ -0,0 +1,275 @@
+"""The behaviour of a target stand-in, apart from its connections."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from importlib.resources import files
+from math import exp
+from statistics import NormalDist
+
+from xxhash import xxh64_intdigest
+
+from savoryarch.charts import parse_chart
+from savoryarch.model import Decided
+from savoryarch_standins.target._model import (
+    Behaviour,
+    CancelAsked,
+    ConnectionsCounted,
+    Driven,
+    DropConnections,
+    Expired,
+    Ran,
+    Reply,
+    Requested,
+    RouteWork,
+    SearchWork,
+    Switched,
+    TargetEvent,
+    TargetSpec,
+    TargetStandinState,
+    Wake,
+)
+from savoryarch_standins.target._replies import Refusal, encode_order, encode_part
+
+_NORMAL = NormalDist()
+_MAX_DRAW = 2.0**64
+
+Step = Decided[TargetStandinState]
+
+
+def make_target(spec: TargetSpec, behaviour: Behaviour, seed: int, now_ms: float) -> Step:
+    """Make a target that starts cold."""
+    state = TargetStandinState(spec, behaviour, seed)
+    return Decided(state, (_warming(state, now_ms),))
+
+
+def decide_target(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    """Return the state after `event` and what to do."""
+    match event:
+        case Switched(behaviour=behaviour):
+            return Decided(replace(state, behaviour=behaviour))
+        case ConnectionsCounted():
+            return Decided(_count_connections(state, event))
+        case _:
+            chart_event = _chart_event(state, event)
+            if not _CHART.accepts(state.chart_state, chart_event):
+                return Decided(state)
+            return _step(state, chart_event, event, now_ms)
+
+
+def _chart_event(state: TargetStandinState, event: TargetEvent) -> str:
+    """Return the chart event that `event` stands for; empty if it is out of date."""
+    match event:
+        case Requested():
+            return "requested"
+        case CancelAsked():
+            return "cancelled"
+        case Driven(chart_event=chart_event, incarnation=incarnation):
+            return chart_event if incarnation in (None, state.incarnation) else ""
+        case Ran(exchange=exchange) if exchange in state.in_flight:
+            return "crash" if _crashes(state, state.in_flight[exchange]) else "ran"
+        case Expired(exchange=exchange) if exchange in state.in_flight:
+            return "expired"
+        case _:
+            return ""
+
+
+def _step(state: TargetStandinState, chart_event: str, event: TargetEvent, now_ms: float) -> Step:
+    transition = _CHART.step(state.chart_state, chart_event)
+    step: Step = Decided(replace(state, chart_state=transition.next_state))
+    for action in transition.actions:
+        done = _ACTIONS[action](step.state, event, now_ms)
+        step = Decided(done.state, step.effects + done.effects)
+    return step
+
+
+def _run(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    assert isinstance(event, Requested)
+    behaviour, counts = state.behaviour, state.counts
+    if event.deadline_at_ms <= now_ms:
+        return _refuse_with(state, event, 504, Refusal("deadline", not_run=True))
+    if isinstance(event.work, SearchWork) and not _serves(behaviour, event.work.snapshot):
+        counts = replace(counts, snapshot_refusals=counts.snapshot_refusals + 1)
+        refusal = Refusal("snapshot", not_run=True)
+        return _refuse_with(replace(state, counts=counts), event, 409, refusal)
+    state, shed_draw = _draw(state)
+    if len(state.in_flight) >= state.spec.slots or shed_draw < behaviour.shed_share:
+        counts = replace(counts, sheds=counts.sheds + 1)
+        refusal = Refusal("shed", not_run=True, retry_after_ms=behaviour.retry_after_ms)
+        return _refuse_with(replace(state, counts=counts), event, 503, refusal)
+    state, service_ms = _draw_service_ms(state)
+    in_flight = state.in_flight.set(event.exchange, event)
+    per_key = counts.runs_per_key
+    if isinstance(event.work, RouteWork) and event.work.idempotency_key:
+        key = event.work.idempotency_key
+        per_key = per_key.set(key, per_key.get(key, 0) + 1)
+    counts = replace(
+        counts,
+        runs=counts.runs + 1,
+        runs_per_key=per_key,
+        max_in_flight=max(counts.max_in_flight, len(in_flight)),
+    )
+    state = replace(state, in_flight=in_flight, counts=counts)
+    ran = Wake(now_ms + service_ms, Ran(event.exchange))
+    expired = Wake(event.deadline_at_ms, Expired(event.exchange))
+    return Decided(state, (ran, expired) if expired.at_ms < ran.at_ms else (ran,))
+
+
+def _reply(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    assert isinstance(event, Ran)
+    request = state.in_flight[event.exchange]
+    state = replace(state, in_flight=state.in_flight.delete(event.exchange))
+    state, draw = _draw(state)
+    behaviour = state.behaviour
+    reply = Reply(event.exchange, request.request_id, 200, _body(state, request, draw))
+    if draw < behaviour.failure_share:
+        reply = replace(reply, status=500, body=Refusal("failure").body())
+    elif draw > 1 - behaviour.malformed_share:
+        reply = replace(reply, body=b'{"snapshot": ')
+    sent = reply
+    if behaviour.crosses_replies and state.last_reply is not None:
+        sent = replace(state.last_reply, exchange=event.exchange)
+    return Decided(replace(state, last_reply=reply), (sent,))
+
+
+def _body(state: TargetStandinState, request: Requested, draw: float) -> bytes:
+    match request.work:
+        case SearchWork() as work:
+            cut_short = draw < state.behaviour.cut_short_share
+            return encode_part(state.spec, state.behaviour, work, cut_short)
+        case RouteWork() as work:
+            run = state.counts.runs_per_key.get(work.idempotency_key, 0)
+            return encode_order(state.spec, work, run, state.counts.runs)
+
+
+def _give_up(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    assert isinstance(event, Expired)
+    request = state.in_flight[event.exchange]
+    counts = replace(state.counts, expired=state.counts.expired + 1)
+    state = replace(state, in_flight=state.in_flight.delete(event.exchange), counts=counts)
+    return _refuse_with(state, request, 504, Refusal("deadline", not_run=False))
+
+
+def _cancel(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    assert isinstance(event, CancelAsked)
+    found = next(
+        (run for run in state.in_flight.values() if run.request_id == event.request_id), None
+    )
+    if found is None:
+        return Decided(state)
+    counts = replace(state.counts, cancelled=state.counts.cancelled + 1)
+    state = replace(state, in_flight=state.in_flight.delete(found.exchange), counts=counts)
+    return _refuse_with(state, found, 499, Refusal("cancelled"))
+
+
+def _refuse(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    assert isinstance(event, Requested)
+    counts = replace(state.counts, refused_draining=state.counts.refused_draining + 1)
+    refusal = Refusal("draining", not_run=True)
+    return _refuse_with(replace(state, counts=counts), event, 503, refusal, closes=True)
+
+
+def _refuse_with(
+    state: TargetStandinState, event: Requested, status: int, refusal: Refusal, closes: bool = False
+) -> Step:
+    return Decided(
+        state, (Reply(event.exchange, event.request_id, status, refusal.body(), closes),)
+    )
+
+
+def _hold(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    counts = replace(state.counts, held=state.counts.held + 1)
+    return Decided(replace(state, held=(*state.held, event), counts=counts))
+
+
+def _release(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    step: Step = Decided(replace(state, held=()))
+    for held in state.held:
+        done = decide_target(step.state, held, now_ms)
+        step = Decided(done.state, step.effects + done.effects)
+    return step
+
+
+def _drop(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    counts = replace(state.counts, crashes=state.counts.crashes + 1)
+    state = replace(
+        state,
+        in_flight=state.in_flight.__class__(),
+        held=(),
+        last_reply=None,
+        counts=counts,
+        incarnation=state.incarnation + 1,
+    )
+    return Decided(state, (DropConnections(exits=state.behaviour.exits_on_crash),))
+
+
+def _schedule_restart(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    at_ms = now_ms + state.behaviour.restart_ms
+    return Decided(state, (Wake(at_ms, Driven("restarted", state.incarnation)),))
+
+
+def _schedule_warming(state: TargetStandinState, event: TargetEvent, now_ms: float) -> Step:
+    return Decided(state, (_warming(state, now_ms),))
+
+
+def _warming(state: TargetStandinState, now_ms: float) -> Wake:
+    return Wake(now_ms + state.behaviour.cold_start_ms, Driven("warmed", state.incarnation))
+
+
+def _count_connections(state: TargetStandinState, event: ConnectionsCounted) -> TargetStandinState:
+    counts = state.counts
+    counts = replace(
+        counts,
+        max_connections=max(counts.max_connections, event.open_count),
+        connections_refused=counts.connections_refused + event.refused,
+        connections_opened=counts.connections_opened + (event.open_count > state.open_connections),
+    )
+    return replace(state, open_connections=event.open_count, counts=counts)
+
+
+def _serves(behaviour: Behaviour, snapshot: str) -> bool:
+    return snapshot in behaviour.snapshots.split(",")
+
+
+def _crashes(state: TargetStandinState, request: Requested) -> bool:
+    word = state.behaviour.crash_word.encode()
+    return bool(word) and state.chart_state != "frozen" and word in request.work.body
+
+
+def _draw(state: TargetStandinState) -> tuple[TargetStandinState, float]:
+    draw = (
+        xxh64_intdigest(f"{state.spec.target_id}/{state.draws}".encode(), seed=state.seed)
+        / _MAX_DRAW
+    )
+    return replace(state, draws=state.draws + 1), draw
+
+
+def _draw_service_ms(state: TargetStandinState) -> tuple[TargetStandinState, float]:
+    behaviour = state.behaviour
+    state, normal = _draw(state)
+    state, straggler = _draw(state)
+    factor = behaviour.slow_factor
+    if straggler < behaviour.straggler_share:
+        factor *= behaviour.straggler_factor
+    if state.chart_state == "cold":
+        factor *= behaviour.cold_factor
+    deviation = _NORMAL.inv_cdf(min(max(normal, 1e-9), 1 - 1e-9))
+    return state, behaviour.service_median_ms * factor * exp(behaviour.service_sigma * deviation)
+
+
+_ACTIONS: dict[str, Callable[[TargetStandinState, TargetEvent, float], Step]] = {
+    "run": _run,
+    "reply": _reply,
+    "give_up": _give_up,
+    "cancel": _cancel,
+    "refuse": _refuse,
+    "hold": _hold,
+    "release": _release,
+    "drop": _drop,
+    "schedule_restart": _schedule_restart,
+    "schedule_warming": _schedule_warming,
+}
+_CHART = parse_chart(
+    files("savoryarch_standins.target").joinpath("target.ini").read_text(encoding="utf-8"),
+    "target.ini",
+    frozenset(_ACTIONS),
+)
--- /dev/null
+++ b/savoryarch_standins/target/_switches.py
@@ -0,0 +1,58 @@
+"""Reads ``POST /switches``: fields of `Behaviour`, chart events and index versions."""
+
+from dataclasses import dataclass, fields, replace
+from typing import Any
+
+from msgspec import ValidationError, convert, to_builtins
+from msgspec.json import decode
+
+from savoryarch.utils import Finding, Place
+from savoryarch_standins.target._model import Behaviour, Driven, Switched
+
+_DRIVES = ("drain", "restore", "freeze", "thaw", "crash")
+
+
+@dataclass(frozen=True, slots=True)
+class Switches:
+    """What a test asked for."""
+
+    events: tuple[Switched | Driven, ...] = ()
+    findings: tuple[Finding, ...] = ()
+
+
+def read_switches(body: bytes, current: Behaviour) -> Switches:
+    """Read the body of ``POST /switches``.
+
+    Parameters
+    ----------
+    body : bytes
+        A JSON object. Keys are the fields of `Behaviour`; ``drive`` with an event of the chart
+        (``drain``, ``restore``, ``freeze``, ``thaw``, ``crash``); ``advance_index`` with the
+        number of index versions to go forward, keeping as many as are served now.
+    current : Behaviour
+        Fields that are not named keep their value.
+    """
+    try:
+        asked: dict[str, Any] = decode(body or b"{}", type=dict[str, Any])
+        drive = asked.pop("drive", None)
+        steps = int(asked.pop("advance_index", 0))
+        unknown = sorted(set(asked) - {item.name for item in fields(Behaviour)})
+        if unknown or drive not in (None, *_DRIVES):
+            message = f"got {', '.join(unknown) or drive!r}, expected switches of Behaviour"
+            return Switches(findings=(Finding(Place("switches"), message),))
+        behaviour = convert({**to_builtins(current), **asked}, Behaviour)
+    except (ValidationError, ValueError, TypeError) as error:
+        return Switches(findings=(Finding(Place("switches"), str(error)),))
+    if steps:
+        behaviour = advance_index(behaviour, steps)
+    switched = (Switched(behaviour),) if behaviour != current else ()
+    return Switches((*switched, Driven(drive)) if drive else switched)
+
+
+def advance_index(behaviour: Behaviour, steps: int) -> Behaviour:
+    """Move every served snapshot forward by `steps` index versions."""
+    moved = []
+    for snapshot in behaviour.snapshots.split(","):
+        shard_map, _, index = snapshot.partition(".")
+        moved.append(f"{shard_map}.{int(index) + steps}")
+    return replace(behaviour, snapshots=",".join(moved))
