--- /dev/null
+++ b/savoryarch/tier/_decide.py
@@ -0,0 +1,114 @@
+"""Routes each event to the decisions that it concerns, and their informs to the others."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+
+from savoryarch.model import (
+    AttemptEnded,
+    Decided,
+    DeclarationsInForce,
+    Inform,
+    SearchAsked,
+    StoreReplied,
+    TargetSigned,
+    TimerFired,
+    UnfinishedChanged,
+)
+from savoryarch.search import decide_search, unfinished_requests
+from savoryarch.shutdown import decide_shutdown
+from savoryarch.targets import decide_targets
+from savoryarch.tier._state import TierState
+
+Subject = Callable[[TierState, object, float], Decided[TierState]]
+
+
+def decide_tier(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    """Decide on one event of an entry instance.
+
+    Parameters
+    ----------
+    state : TierState
+        Before the event.
+    event : object
+        Any event of `savoryarch.model`.
+    now_ms : float
+        Time of the event.
+
+    Returns
+    -------
+    decided : Decided
+        What the process has to carry out, in order. `DeclarationsInForce` is passed on as an
+        effect as well, because the process connects to the declared targets.
+    """
+    pending = deque([event])
+    effects: list[object] = []
+    while pending:
+        current = pending.popleft()
+        if isinstance(current, DeclarationsInForce):
+            effects.append(current)
+        for subject in _subjects_of(current):
+            decided = subject(state, current, now_ms)
+            state = decided.state
+            for effect in decided.effects:
+                if isinstance(effect, Inform):
+                    pending.append(effect.event)
+                else:
+                    effects.append(effect)
+        if not pending and (changed := _unfinished_change(state)) is not None:
+            state = replace(state, unfinished_ids=changed.request_ids)
+            pending.append(changed)
+    return Decided(state, tuple(effects))
+
+
+def _subjects_of(event: object) -> tuple[Subject, ...]:
+    match event:
+        case (
+            AttemptEnded(attempt_id=owned_id)
+            | TimerFired(timer_id=owned_id)
+            | StoreReplied(call_id=owned_id)
+        ):
+            owner = _SUBJECTS.get(owned_id.partition("/")[0])
+            return (owner,) if owner else ()
+        case SearchAsked():
+            return (_search,)
+        case TargetSigned():
+            return (_targets, _search)
+        case UnfinishedChanged():
+            return (_shutdown,)
+        case _:
+            return _ALL
+
+
+def _unfinished_change(state: TierState) -> UnfinishedChanged | None:
+    # Only the shutdown asks, so that requests do not pay for it in ordinary times.
+    if state.shutdown.chart_state == _RUNNING:
+        return None
+    unfinished = unfinished_requests(state.search)
+    return None if unfinished == state.unfinished_ids else UnfinishedChanged(unfinished)
+
+
+def _targets(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    decided = decide_targets(state.targets, event, now_ms)
+    return Decided(replace(state, targets=decided.state), decided.effects)
+
+
+def _search(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    decided = decide_search(state.search, state.targets, event, now_ms)
+    changed = replace(state, search=decided.state, targets=decided.targets)
+    return Decided(changed, decided.effects)
+
+
+def _shutdown(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    decided = decide_shutdown(state.shutdown, event, now_ms)
+    return Decided(replace(state, shutdown=decided.state), decided.effects)
+
+
+_RUNNING = "serving"
+# Targets come first: the other decisions choose between them.
+_SUBJECTS: dict[str, Subject] = {
+    "targets": _targets,
+    "search": _search,
+    "shutdown": _shutdown,
+}
+_ALL = tuple(_SUBJECTS.values())
