Add settings, resources and the configuration decision

Cause: operators declare searches and routes; an accepted configuration must be in force on every instance and never revert. Change: settings by section, resources in INI and JSON with every finding at once, one value in the store committed by compare-and-swap, differences spread between peers, status.

--- /dev/null
+++ b/savoryarch/configuration/_checks.py
@@ -0,0 +1,89 @@
+"""What the resources of one configuration must say about each other."""
+
+from collections.abc import Iterator
+from difflib import get_close_matches
+
+from savoryarch.model import Declarations, KeyFromField, Route, Search, Service
+from savoryarch.utils import Finding, Place
+
+
+def check_declarations(declarations: Declarations) -> tuple[Finding, ...]:
+    """Return what is wrong between resources, each finding with its dotted path."""
+    findings: list[Finding] = []
+    findings += _check_targets(declarations)
+    for service in declarations.services.values():
+        findings += _check_service(service)
+    for search in declarations.searches.values():
+        findings += _check_search(search, declarations)
+    for route in declarations.routes.values():
+        findings += _check_route(route, declarations)
+    return tuple(sorted(findings))
+
+
+def _check_targets(declarations: Declarations) -> Iterator[Finding]:
+    ids: dict[str, str] = {}
+    addresses: dict[tuple[str, int], str] = {}
+    for service in sorted(declarations.services.values(), key=lambda item: item.name):
+        path = f"service.{service.name}.targets"
+        for target in service.targets:
+            first = ids.setdefault(target.target_id, service.name)
+            if first != service.name:
+                yield _finding(path, f"target {target.target_id!r} is also in service {first!r}")
+            if target.port == 0:
+                yield _finding(path, f"target {target.target_id!r} has port 0")
+            address = (target.host, target.port)
+            other = addresses.setdefault(address, target.target_id)
+            if other != target.target_id:
+                yield _finding(
+                    path,
+                    f"targets {other!r} and {target.target_id!r} have the same address "
+                    f"{target.host}:{target.port}",
+                )
+
+
+def _check_service(service: Service) -> Iterator[Finding]:
+    path = f"service.{service.name}"
+    seen: set[str] = set()
+    for target in service.targets:
+        if target.target_id in seen:
+            yield _finding(f"{path}.targets", f"target {target.target_id!r} is given twice")
+        seen.add(target.target_id)
+    if service.connection_limit < service.slots:
+        yield _finding(
+            f"{path}.connection_limit",
+            f"got {service.connection_limit}, expected at least the slots ({service.slots})",
+        )
+
+
+def _check_search(search: Search, declarations: Declarations) -> Iterator[Finding]:
+    path = f"search.{search.name}.shard_maps"
+    versions = [shard_map.version for shard_map in search.shard_maps]
+    if sorted(set(versions)) != versions:
+        yield _finding(path, f"got versions {versions}, expected them to ascend")
+    for shard_map in search.shard_maps:
+        where = f"shard map {shard_map.version}"
+        if not shard_map.services:
+            yield _finding(path, f"{where} names no service")
+        for name in sorted(set(shard_map.services)):
+            if shard_map.services.count(name) > 1:
+                yield _finding(path, f"{where} names service {name!r} twice")
+            if name not in declarations.services:
+                yield _finding(path, f"{where} names {_missing_service(name, declarations)}")
+
+
+def _check_route(route: Route, declarations: Declarations) -> Iterator[Finding]:
+    path = f"route.{route.name}"
+    if route.service not in declarations.services:
+        yield _finding(f"{path}.service", f"got {_missing_service(route.service, declarations)}")
+    if isinstance(route.key, KeyFromField) and route.idempotent:
+        yield _finding(f"{path}.key", "an idempotent route takes no key from a field of the body")
+
+
+def _missing_service(name: str, declarations: Declarations) -> str:
+    close = get_close_matches(name, tuple(declarations.services), n=1)
+    hint = f"; did you mean {close[0]!r}?" if close else ""
+    return f"service {name!r}, which does not exist{hint}"
+
+
+def _finding(path: str, message: str) -> Finding:
+    return Finding(Place("", 0, path), message)
--- /dev/null
+++ b/savoryarch/configuration/_settings.py
@@ -0,0 +1,41 @@
+"""Settings of the configuration."""
+
+from dataclasses import dataclass
+
+from savoryarch.utils import Number, setting
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSettings:
+    """How the configuration is committed, followed and spread."""
+
+    watchers: int = setting(
+        Number(1, 16, whole=True), "instances that watch the store at a time", 2
+    )
+    watch_wait_ms: float = setting(Number(100, 60_000), "how long one watch call waits", 2_000.0)
+    retry_interval_ms: float = setting(
+        Number(10, 60_000), "time between calls on a store that fails", 500.0
+    )
+    takeover_ms: float = setting(
+        Number(500, 600_000),
+        "time without a reply from the store to any instance, after which others try in turn",
+        4_000.0,
+    )
+    announce_interval_ms: float = setting(
+        Number(50, 60_000), "time between announcements to a random peer", 500.0
+    )
+    spread_peers: int = setting(
+        Number(1, 64, whole=True), "peers that are told of a new generation at once", 5
+    )
+    acknowledgements: int = setting(
+        Number(0, 16, whole=True), "peers that must hold a change before it is accepted", 1
+    )
+    acknowledge_timeout_ms: float = setting(
+        Number(10, 60_000), "how long to wait for those peers", 300.0
+    )
+    change_timeout_ms: float = setting(
+        Number(100, 60_000), "time until an operator's change gets an outcome", 4_000.0
+    )
+    change_queue_limit: int = setting(
+        Number(1, 10_000, whole=True), "changes that wait for their turn on this instance", 64
+    )
--- /dev/null
+++ b/savoryarch/configuration/tests/fleet.py
@@ -0,0 +1,226 @@
+"""Several instances and a store in virtual time, for the tests of the configuration."""
+
+import heapq
+import random
+from dataclasses import dataclass
+
+from savoryarch.configuration import (
+    ConfigurationSettings,
+    decide_configuration,
+    make_configuration_state,
+)
+from savoryarch.model import (
+    AnswerChange,
+    AnswerStatus,
+    ChangeAsked,
+    ClearTimer,
+    DeclarationsInForce,
+    Inform,
+    KeyAbsent,
+    KeyChange,
+    KeyRead,
+    KeysChanged,
+    KeysListed,
+    ListKeys,
+    PeerSaid,
+    PeersChanged,
+    ReadKey,
+    SetTimer,
+    Started,
+    StoreReplied,
+    StoreUnreachable,
+    SwapConflict,
+    SwapKey,
+    Swapped,
+    TellPeer,
+    TellPeers,
+    TimerFired,
+    WatchKeys,
+)
+from savoryarch.resources import RECORD_CODEC
+
+STORE_MS = 5.0
+PEER_MS = 1.0
+STORE_TIMEOUT_MS = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Waiter:
+    """A watch that waits at the store."""
+
+    instance_id: str
+    call: WatchKeys
+
+
+class Fleet:
+    """The instances, the store and what is on its way."""
+
+    def __init__(self, seed=0, settings=None):
+        self.random = random.Random(seed)
+        self.settings = settings or ConfigurationSettings()
+        self.now_ms = 0.0
+        self.states = {}
+        self.groups = {}
+        self.store_groups = {0}
+        self.loss = 0.0
+        self.reply_loss = 0.0
+        self.value = (None, 0)
+        self.revision = 0
+        self.backups = []
+        self.waiters = []
+        self.queue = []
+        self.timers = {}
+        self.answers = {}
+        self.statuses = {}
+        self.in_force = {}
+        self.store_calls = 0
+        self.peer_messages = 0
+        self.on_message = None
+        self.sequence = 0
+
+    def start(self, instance_id, group=0):
+        seed = self.random.getrandbits(64)
+        state = make_configuration_state(RECORD_CODEC, self.settings, seed)
+        self.states[instance_id] = state
+        self.groups[instance_id] = group
+        self.in_force[instance_id] = [0]
+        self.give(instance_id, Started(instance_id, "zone", int(self.now_ms)))
+
+    def kill(self, instance_id):
+        for held in (self.states, self.groups, self.in_force):
+            held.pop(instance_id)
+        self.waiters = [waiter for waiter in self.waiters if waiter.instance_id != instance_id]
+
+    def meet(self):
+        """Tell every instance which peers it can reach."""
+        for instance_id, group in list(self.groups.items()):
+            live = tuple(
+                sorted(
+                    other
+                    for other, theirs in self.groups.items()
+                    if theirs == group and other != instance_id
+                )
+            )
+            self.give(instance_id, PeersChanged(live))
+
+    def cut(self, group_of):
+        """Cut the instances into groups and tell them."""
+        self.groups = {instance_id: group_of(instance_id) for instance_id in self.states}
+        self.meet()
+
+    def ask(self, instance_id, change_id, *changes):
+        self.give(instance_id, ChangeAsked(change_id, changes))
+
+    def restore(self, index):
+        """Put an older value of the configuration back, as a restored backup does."""
+        self.revision = self.backups[index][1]
+        self.value = self.backups[index]
+
+    def give(self, instance_id, event):
+        decided = decide_configuration(self.states[instance_id], event, self.now_ms)
+        self.states[instance_id] = decided.state
+        for effect in decided.effects:
+            self.perform(instance_id, effect)
+
+    def run(self, for_ms):
+        """Let time pass."""
+        end_ms = self.now_ms + for_ms
+        while self.queue and self.queue[0][0] <= end_ms:
+            at_ms, number, instance_id, event = heapq.heappop(self.queue)
+            self.now_ms = max(self.now_ms, at_ms)
+            if instance_id == "store":
+                self.serve(*event)
+            elif instance_id in self.states and self.wanted(instance_id, event, number):
+                self.give(instance_id, event)
+        self.now_ms = end_ms
+
+    def wanted(self, instance_id, event, number):
+        if isinstance(event, TimerFired):
+            return self.timers.get((instance_id, event.timer_id)) == number
+        if isinstance(event, PeerSaid):
+            sender = self.groups.get(event.peer_id, "gone")
+            return sender == self.groups[instance_id]
+        return True
+
+    def later(self, delay_ms, instance_id, event):
+        self.sequence += 1
+        heapq.heappush(self.queue, (self.now_ms + delay_ms, self.sequence, instance_id, event))
+        return self.sequence
+
+    def perform(self, instance_id, effect):
+        match effect:
+            case SetTimer(timer_id=timer_id, at_ms=at_ms):
+                delay_ms = max(0.0, at_ms - self.now_ms)
+                number = self.later(delay_ms, instance_id, TimerFired(timer_id))
+                self.timers[(instance_id, timer_id)] = number
+            case ClearTimer(timer_id=timer_id):
+                self.timers.pop((instance_id, timer_id), None)
+            case TellPeer(peer_id=peer_id, message=message):
+                self.tell(instance_id, peer_id, message)
+            case TellPeers(message=message):
+                for peer_id in self.states[instance_id].peers:
+                    self.tell(instance_id, peer_id, message)
+            case ReadKey() | SwapKey() | ListKeys() | WatchKeys():
+                self.store_calls += 1
+                delay_ms = STORE_MS * (0.5 + self.random.random())
+                self.later(delay_ms, "store", (instance_id, effect))
+            case AnswerChange(change_id=change_id, outcome=outcome):
+                self.answers[change_id] = (outcome, self.now_ms, instance_id)
+            case AnswerStatus(status_id=status_id, status=status):
+                self.statuses[status_id] = status
+            case Inform(event=DeclarationsInForce(declarations=declarations)):
+                self.in_force[instance_id].append(declarations.generation)
+
+    def tell(self, instance_id, peer_id, message):
+        self.peer_messages += 1
+        if self.on_message:
+            self.on_message(message)
+        if self.random.random() >= self.loss:
+            delay_ms = PEER_MS * (0.5 + self.random.random())
+            self.later(delay_ms, peer_id, PeerSaid(instance_id, message))
+
+    def serve(self, instance_id, call):
+        """Let the store take a call."""
+        if self.groups.get(instance_id, "gone") not in self.store_groups:
+            self.reply(instance_id, call, StoreUnreachable("cut off"), STORE_TIMEOUT_MS)
+            return
+        value, revision = self.value
+        match call:
+            case ReadKey() if value is None:
+                self.reply(instance_id, call, KeyAbsent(call.key, self.revision))
+            case ReadKey():
+                self.reply(instance_id, call, KeyRead(call.key, value, revision))
+            case ListKeys():
+                entries = (
+                    () if value is None else (KeyRead("configuration/current", value, revision),)
+                )
+                self.reply(instance_id, call, KeysListed(entries, self.revision))
+            case WatchKeys() if revision > call.since_revision:
+                change = KeyChange("configuration/current", value, revision)
+                self.reply(instance_id, call, KeysChanged((change,), self.revision))
+            case WatchKeys():
+                self.waiters.append(Waiter(instance_id, call))
+                self.later(call.wait_ms, "store", (instance_id, ("end", call)))
+            case ("end", call):
+                if Waiter(instance_id, call) in self.waiters:
+                    self.waiters.remove(Waiter(instance_id, call))
+                    self.reply(instance_id, call, KeysChanged((), self.revision))
+            case SwapKey() if call.expected_revision != revision:
+                self.reply(instance_id, call, SwapConflict(call.key, revision))
+            case SwapKey():
+                self.write(call.value)
+                self.reply(instance_id, call, Swapped(call.key, self.revision), loses=True)
+
+    def write(self, value):
+        self.revision += 1
+        self.value = (value, self.revision)
+        self.backups.append(self.value)
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            change = KeyChange("configuration/current", value, self.revision)
+            self.reply(waiter.instance_id, waiter.call, KeysChanged((change,), self.revision))
+
+    def reply(self, instance_id, call, reply, delay_ms=STORE_MS, loses=False):
+        if loses and self.random.random() < self.reply_loss:
+            reply, delay_ms = StoreUnreachable("reply lost"), STORE_TIMEOUT_MS
+        self.later(delay_ms, instance_id, StoreReplied(call.call_id, reply))
--- /dev/null
+++ b/savoryarch/resources/__init__.py
@@ -0,0 +1,36 @@
+"""Resources as text: INI files kept in version control, JSON of the API, bytes of the store."""
+
+from savoryarch.resources._forms import FORMS, format_scalar, make_form
+from savoryarch.resources._ini import (
+    DeclaredResource,
+    format_resource,
+    format_resources,
+    parse_resources,
+    place_in,
+)
+from savoryarch.resources._json import resource_from_json, resource_to_json
+from savoryarch.resources._record import (
+    RECORD_CODEC,
+    decode_delta,
+    decode_record,
+    encode_delta,
+    encode_record,
+)
+
+__all__ = [
+    "FORMS",
+    "RECORD_CODEC",
+    "DeclaredResource",
+    "decode_delta",
+    "decode_record",
+    "encode_delta",
+    "encode_record",
+    "format_resource",
+    "format_resources",
+    "format_scalar",
+    "make_form",
+    "parse_resources",
+    "place_in",
+    "resource_from_json",
+    "resource_to_json",
+]
--- /dev/null
+++ b/savoryarch/resources/_ini.py
@@ -0,0 +1,205 @@
+"""Resources in INI files.
+
+INI, because the settings are INI already, and because a resource has one level of fields; the
+two lists (targets and shard maps) read better as lines than as nested structures.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, fields, replace
+from itertools import groupby
+from typing import Any
+
+from savoryarch.model import Declarations, Kind, Resource, resource_key
+from savoryarch.resources._forms import FORMS, format_scalar, make_form, make_resource
+from savoryarch.resources._lines import (
+    format_shard_maps,
+    format_targets,
+    read_shard_maps,
+    read_targets,
+)
+from savoryarch.utils import (
+    NAME,
+    Finding,
+    IniSection,
+    Place,
+    parse_value,
+    read_ini,
+    read_section,
+    suggest,
+)
+
+_GROUP = "group"
+_GROUP_KEYS = ("slots", "connection_limit")
+_LINE_READERS = {"targets": read_targets, "shard_maps": read_shard_maps}
+_PLACEHOLDER = "lines"
+
+
+@dataclass(frozen=True, slots=True)
+class DeclaredResource:
+    """A resource and where it was declared.
+
+    Parameters
+    ----------
+    resource : Resource
+        The resource.
+    places : mapping of str to Place
+        Place of each field that was given, and of the section under the empty string.
+    """
+
+    resource: Resource
+    places: Mapping[str, Place]
+
+
+def parse_resources(
+    text: str, source: str
+) -> tuple[tuple[DeclaredResource, ...], tuple[Finding, ...]]:
+    """Parse the resources of one INI text.
+
+    Returns
+    -------
+    resources : tuple of DeclaredResource
+        Those without findings, in file order.
+    findings : tuple of Finding
+        Everything that is wrong with the text itself, with file, line and dotted path. What
+        resources say about each other is checked by ``savoryarch.configuration``.
+    """
+    document, findings = read_ini(text, source)
+    found = list(findings)
+    groups, group_findings = _read_groups(document.sections)
+    found += group_findings
+    resources: list[DeclaredResource] = []
+    for section in document.sections:
+        kind_word, _, name = section.name.partition(" ")
+        if kind_word == _GROUP:
+            continue
+        declared, problems = _read_resource(section, kind_word, name.strip(), groups)
+        found += problems
+        if declared:
+            resources.append(declared)
+    return tuple(resources), tuple(found)
+
+
+def _read_groups(
+    sections: Iterable[IniSection],
+) -> tuple[dict[str, IniSection], list[Finding]]:
+    groups: dict[str, IniSection] = {}
+    findings: list[Finding] = []
+    for section in sections:
+        word, _, name = section.name.partition(" ")
+        if word != _GROUP:
+            continue
+        groups[name.strip()] = section
+        findings += [
+            Finding(entry.place, f"key {entry.key!r} is unknown{suggest(entry.key, _GROUP_KEYS)}")
+            for entry in section.entries
+            if entry.key not in _GROUP_KEYS
+        ]
+    return groups, findings
+
+
+def _read_resource(
+    section: IniSection, kind_word: str, name: str, groups: Mapping[str, IniSection]
+) -> tuple[DeclaredResource | None, tuple[Finding, ...]]:
+    kinds = tuple(kind.value for kind in Kind)
+    if kind_word not in kinds:
+        hint = suggest(kind_word, (*kinds, _GROUP))
+        expected = f"[{'|'.join((*kinds, _GROUP))} NAME]"
+        return None, (
+            Finding(section.place, f"got section [{section.name}], expected {expected}{hint}"),
+        )
+    _, problem = parse_value(name, NAME)
+    if problem:
+        return None, (Finding(section.place, problem),)
+    kind = Kind(kind_word)
+    section = _dotted(section, kind, name)
+    values, findings = _read_lines(section, kind)
+    form, more = read_section(_merge_group(section, kind, groups), FORMS[kind])
+    findings += more
+    if findings:
+        return None, tuple(findings)
+    form = replace(form, **values)
+    places = {entry.key: entry.place for entry in section.entries}
+    return DeclaredResource(make_resource(name, form), {"": section.place} | places), ()
+
+
+def _dotted(section: IniSection, kind: Kind, name: str) -> IniSection:
+    path = f"{kind.value}.{name}"
+    entries = tuple(
+        replace(entry, place=replace(entry.place, path=f"{path}.{entry.key}"))
+        for entry in section.entries
+    )
+    return IniSection(section.name, replace(section.place, path=path), entries)
+
+
+def _merge_group(section: IniSection, kind: Kind, groups: Mapping[str, IniSection]) -> IniSection:
+    """Add what the group of a service gives, and hide lines from `read_section`."""
+    entries = [
+        replace(entry, value=_PLACEHOLDER) if entry.key in _LINE_READERS else entry
+        for entry in section.entries
+    ]
+    group = section.get(_GROUP)
+    if kind is Kind.SERVICE and group and group.value in groups:
+        entries += [
+            entry
+            for entry in groups[group.value].entries
+            if entry.key in _GROUP_KEYS and not section.get(entry.key)
+        ]
+    return IniSection(section.name, section.place, tuple(entries))
+
+
+def _read_lines(section: IniSection, kind: Kind) -> tuple[dict[str, Any], tuple[Finding, ...]]:
+    values: dict[str, Any] = {}
+    findings: tuple[Finding, ...] = ()
+    for item in fields(FORMS[kind]):
+        entry = section.get(item.name)
+        if item.name in _LINE_READERS and entry:
+            values[item.name], more = _LINE_READERS[item.name](entry)
+            findings += more
+    return values, findings
+
+
+def format_resources(declarations: Declarations) -> str:
+    """Format every resource as INI text that `parse_resources` reads back as it was.
+
+    Fields that have their default are left out; services of a group that agree on slots and
+    connections get a ``[group NAME]`` section.
+    """
+    services = sorted(declarations.services.values(), key=lambda item: (item.group, item.name))
+    sections: list[str] = []
+    for group, members in groupby(services, key=lambda item: item.group):
+        listed = list(members)
+        shared = {(item.slots, item.connection_limit) for item in listed}
+        grouped = bool(group) and len(shared) == 1
+        if grouped:
+            slots, limit = shared.pop()
+            sections.append(f"[group {group}]\nslots = {slots}\nconnection_limit = {limit}\n")
+        hidden = set(_GROUP_KEYS) if grouped else set()
+        sections += [format_resource(item, hidden) for item in listed]
+    others = (declarations.searches, declarations.routes, declarations.callers)
+    for resources in others:
+        sections += [format_resource(resources[name]) for name in sorted(resources)]
+    return "\n".join(sections)
+
+
+def format_resource(resource: Resource, hidden: Iterable[str] = ()) -> str:
+    """Format one resource as an INI section, without the fields in `hidden`."""
+    key = resource_key(resource)
+    form = make_form(resource)
+    lines = [f"[{key.kind.value} {key.name}]"]
+    for item in fields(form):
+        value = getattr(form, item.name)
+        if item.name in hidden or value == item.default:
+            continue
+        match item.name:
+            case "targets":
+                lines += ["targets =", *(f"    {line}" for line in format_targets(value))]
+            case "shard_maps":
+                lines += ["shard_maps =", *(f"    {line}" for line in format_shard_maps(value))]
+            case _:
+                lines.append(f"{item.name} = {format_scalar(value)}")
+    return "\n".join(lines) + "\n"
+
+
+def place_in(declared: DeclaredResource, field_name: str) -> Place:
+    """Return the place of a field, or of the section if the field was not given."""
+    return declared.places.get(field_name, declared.places[""])
--- /dev/null
+++ b/savoryarch/resources/_json.py
@@ -0,0 +1,198 @@
+"""Resources as JSON, for the resource API and the store."""
+
+from collections.abc import Mapping
+from dataclasses import MISSING, fields
+from enum import Enum
+from typing import Any
+
+from savoryarch.model import Kind, Resource, ShardMap, Target, resource_key
+from savoryarch.resources._forms import FORMS, make_form, make_resource
+from savoryarch.resources._lines import make_target, parse_services, parse_shard_map_version
+from savoryarch.utils import (
+    NAME,
+    Constraint,
+    Finding,
+    Number,
+    Place,
+    Switch,
+    parse_value,
+    suggest,
+)
+
+JsonObject = dict[str, Any]
+_HEAD_KEYS = ("kind", "name", "revision")
+_TARGET_KEYS = ("target_id", "availability_zone", "host", "port")
+_SHARD_MAP_KEYS = ("version", "services")
+
+
+def resource_to_json(resource: Resource, revision: int) -> JsonObject:
+    """Return the JSON object of a resource, with every field."""
+    key = resource_key(resource)
+    form = make_form(resource)
+    value: JsonObject = {"kind": key.kind.value, "name": key.name, "revision": revision}
+    for item in fields(form):
+        value[item.name] = _to_json(getattr(form, item.name))
+    return value
+
+
+def resource_from_json(
+    kind: Kind, name: str, value: object
+) -> tuple[Resource | None, tuple[Finding, ...]]:
+    """Read the JSON object of a resource.
+
+    Parameters
+    ----------
+    kind, name
+        What the resource shall be; ``kind`` and ``name`` in `value` may be absent.
+    value : object
+        Decoded JSON.
+
+    Returns
+    -------
+    resource : Resource or None
+        None if there are findings.
+    findings : tuple of Finding
+        Everything that is wrong, each with its dotted path.
+    """
+    path = f"{kind.value}.{name}"
+    if not isinstance(value, dict):
+        return None, (_finding(path, f"got {_type(value)}, expected an object"),)
+    findings = list(_check_head(kind, name, value, path))
+    values: JsonObject = {}
+    declared = {item.name: item for item in fields(FORMS[kind])}
+    for field_name, given in value.items():
+        if field_name in _HEAD_KEYS:
+            continue
+        field_path = f"{path}.{field_name}"
+        if field_name not in declared:
+            hint = suggest(field_name, tuple(declared))
+            findings.append(_finding(field_path, f"field {field_name!r} is unknown{hint}"))
+            continue
+        item = declared[field_name]
+        if given == "" and item.default == "":
+            continue
+        constraint = item.metadata["constraint"]
+        values[field_name], more = _read_field(field_name, given, constraint, field_path)
+        findings += more
+    findings += [
+        _finding(path, f"field {item.name!r} is missing: {item.metadata['description']}")
+        for item in declared.values()
+        if item.default is MISSING and item.name not in value
+    ]
+    if findings:
+        return None, tuple(findings)
+    return make_resource(name, FORMS[kind](**values)), ()
+
+
+def _check_head(kind: Kind, name: str, value: Mapping[str, Any], path: str) -> list[Finding]:
+    _, problem = parse_value(name, NAME)
+    findings = [_finding(path, problem)] if problem else []
+    findings += [
+        _finding(f"{path}.{key}", f"got {value[key]!r}, expected {expected!r}")
+        for key, expected in (("kind", kind.value), ("name", name))
+        if key in value and value[key] != expected
+    ]
+    return findings
+
+
+def _read_field(
+    name: str, given: object, constraint: Constraint, path: str
+) -> tuple[Any, list[Finding]]:
+    match name:
+        case "targets":
+            return _read_list(given, path, _read_target)
+        case "shard_maps":
+            return _read_list(given, path, _read_shard_map)
+        case _:
+            value, problem = _read_scalar(given, constraint)
+            return value, [_finding(path, problem)] if problem else []
+
+
+def _read_scalar(given: object, constraint: Constraint) -> tuple[Any, str]:
+    match constraint, given:
+        case Number(), bool():
+            return None, "got a boolean, expected a number"
+        case Number(), int() | float():
+            return parse_value(str(given), constraint)
+        case Switch(), bool():
+            return given, ""
+        case Number() | Switch(), _:
+            expected = "a number" if isinstance(constraint, Number) else "true or false"
+            return None, f"got {_type(given)}, expected {expected}"
+        case _, str():
+            return parse_value(given, constraint)
+        case _:
+            return None, f"got {_type(given)}, expected a string"
+
+
+def _read_list(given: object, path: str, read: Any) -> tuple[tuple[Any, ...], list[Finding]]:
+    if not isinstance(given, list) or not given:
+        return (), [_finding(path, f"got {_type(given)}, expected an array with an element")]
+    values: list[Any] = []
+    findings: list[Finding] = []
+    for index, element in enumerate(given):
+        value, more = read(element, f"{path}.{index}")
+        findings += more
+        values.append(value)
+    return tuple(values), findings
+
+
+def _read_target(given: object, path: str) -> tuple[Target | None, list[Finding]]:
+    findings = _check_keys(given, path, _TARGET_KEYS)
+    if findings or not isinstance(given, dict):
+        return None, findings
+    texts = [str(given[key]) for key in _TARGET_KEYS]
+    target, problems = make_target(*texts)
+    return target, [_finding(f"{path}.{field}", problem) for field, problem in problems]
+
+
+def _read_shard_map(given: object, path: str) -> tuple[ShardMap | None, list[Finding]]:
+    findings = _check_keys(given, path, _SHARD_MAP_KEYS)
+    if findings or not isinstance(given, dict):
+        return None, findings
+    version, problem = parse_shard_map_version(str(given["version"]))
+    if problem:
+        findings.append(_finding(f"{path}.version", problem))
+    names = given["services"]
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        findings.append(_finding(f"{path}.services", "expected an array of strings"))
+        return None, findings
+    services, problem = parse_services(" ".join(names))
+    if problem:
+        findings.append(_finding(f"{path}.services", problem))
+    return ShardMap(version or 0, services), findings
+
+
+def _check_keys(given: object, path: str, keys: tuple[str, ...]) -> list[Finding]:
+    if not isinstance(given, dict):
+        return [_finding(path, f"got {_type(given)}, expected an object")]
+    unknown = [
+        _finding(f"{path}.{key}", f"field {key!r} is unknown{suggest(key, keys)}")
+        for key in given
+        if key not in keys
+    ]
+    missing = [_finding(path, f"field {key!r} is missing") for key in keys if key not in given]
+    return unknown + missing
+
+
+def _to_json(value: object) -> Any:
+    match value:
+        case Enum():
+            return value.value
+        case Target():
+            return {key: getattr(value, key) for key in _TARGET_KEYS}
+        case ShardMap(version=version, services=services):
+            return {"version": version, "services": list(services)}
+        case tuple():
+            return [_to_json(item) for item in value]
+        case _:
+            return value
+
+
+def _type(value: object) -> str:
+    names = {dict: "an object", list: "an array", str: "a string", type(None): "null"}
+    return names.get(type(value), f"{value!r}")
+
+
+def _finding(path: str, message: str) -> Finding:
+    return Finding(Place("", 0, path), message)
--- /dev/null
+++ b/savoryarch/settings/_sections.py
@@ -0,0 +1,64 @@
+"""The sections of a settings file that belong to the process as a whole."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from savoryarch.utils import NAME, PORT, URL, Address, OneOf, setting
+
+LOOPBACK = "127.0.0.1"
+
+
+class LogLevel(Enum):
+    """Least severe events that are logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceSettings:
+    """Who this instance is."""
+
+    instance_id: str = setting(NAME, "name of this instance, unique among live ones")
+    availability_zone: str = setting(NAME, "availability zone that it runs in")
+
+
+@dataclass(frozen=True, slots=True)
+class CallersSettings:
+    """Where callers reach this instance."""
+
+    host: str = setting(Address(), "IP number to listen on", LOOPBACK)
+    port: int = setting(PORT, "TCP port for callers; 0 takes a free one", 8080)
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorsSettings:
+    """Where operators reach this instance."""
+
+    host: str = setting(Address(), "IP number to listen on", LOOPBACK)
+    port: int = setting(PORT, "TCP port for operators; 0 takes a free one", 8081)
+
+
+@dataclass(frozen=True, slots=True)
+class PeersSettings:
+    """Where other instances reach this instance."""
+
+    host: str = setting(Address(), "IP number to listen on", LOOPBACK)
+    port: int = setting(PORT, "TCP port for peers; 0 takes a free one", 8082)
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Where the platform's services are; without them the instance runs alone, for a trial."""
+
+    store_url: str = setting(URL, "base URL of the key-value store", "")
+    instance_list_url: str = setting(URL, "base URL of the instance list", "")
+
+
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """What is logged."""
+
+    level: LogLevel = setting(OneOf(LogLevel), "least severe events that are logged", LogLevel.INFO)
--- /dev/null
+++ b/savoryarch/settings/tests/test_settings.py
@@ -0,0 +1,62 @@
+import pytest
+
+from savoryarch.exceptions import FindingsError
+from savoryarch.settings import LogLevel, load_settings, parse_settings
+
+INSTANCE = "[instance]\ninstance_id = entry-1\navailability_zone = zone-a\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "read", "value"),
+    [
+        (INSTANCE, lambda item: item.instance.instance_id, "entry-1"),
+        (INSTANCE, lambda item: (item.callers.host, item.callers.port), ("127.0.0.1", 8080)),
+        (INSTANCE, lambda item: item.platform.store_url, ""),
+        (
+            INSTANCE + "[platform]\nstore_url = http://10.0.0.9:7000",
+            lambda item: item.platform.store_url,
+            "http://10.0.0.9:7000",
+        ),
+        (INSTANCE + "[log]\nlevel = debug", lambda item: item.log.level, LogLevel.DEBUG),
+        (INSTANCE + "[configuration]\nwatchers = 3", lambda item: item.configuration.watchers, 3),
+    ],
+)
+def test_settings_are_read(text, read, value):
+    settings, findings = parse_settings(text, "i.ini")
+    assert not findings
+    assert read(settings) == value
+
+
+@pytest.mark.parametrize(
+    ("text", "findings"),
+    [
+        (
+            "",
+            [
+                "i.ini: key 'availability_zone' is missing: availability zone that it runs in",
+                "i.ini: key 'instance_id' is missing: name of this instance, unique among live "
+                "ones",
+                "i.ini: section [instance] is missing",
+            ],
+        ),
+        (
+            INSTANCE + "[operaters]\n[callers]\nhost = localhost\nprt = 1\n",
+            [
+                "i.ini:4 operaters: section [operaters] is unknown; did you mean 'operators'?",
+                "i.ini:6 callers.host: got 'localhost', expected an IP number such as "
+                "'127.0.0.1'",
+                "i.ini:7 callers.prt: key 'prt' is unknown; did you mean 'port'?",
+            ],
+        ),
+        ("instance_id = x", ["i.ini:1: got an entry, expected a '[section]' first"]),
+    ],
+)
+def test_findings_come_together(text, findings):
+    settings, found = parse_settings(text, "i.ini")
+    assert settings is None
+    assert [str(item) for item in sorted(found)] == findings
+
+
+def test_file_that_cannot_be_read(tmp_path):
+    with pytest.raises(FindingsError, match="cannot be read"):
+        load_settings(tmp_path / "absent.ini")
