--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -1,6 +1,6 @@
 """Reads the settings file of one instance."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Any, get_type_hints
 
@@ -35,14 +35,14 @@
     """
 
     instance: InstanceSettings
-    callers: CallersSettings = field(default_factory=CallersSettings)
-    operators: OperatorsSettings = field(default_factory=OperatorsSettings)
-    peers: PeersSettings = field(default_factory=PeersSettings)
-    platform: PlatformSettings = field(default_factory=PlatformSettings)
-    log: LogSettings = field(default_factory=LogSettings)
-    targets: TargetsSettings = field(default_factory=TargetsSettings)
-    search: SearchSettings = field(default_factory=SearchSettings)
-    configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
+    callers: CallersSettings
+    operators: OperatorsSettings
+    peers: PeersSettings
+    platform: PlatformSettings
+    log: LogSettings
+    targets: TargetsSettings
+    search: SearchSettings
+    configuration: ConfigurationSettings
 
 
 SECTIONS: dict[str, type] = {name: kind for name, kind in get_type_hints(Settings).items()}
@@ -77,22 +77,30 @@
         Everything that is wrong, each with its file, line and key.
     """
     document, syntax = read_ini(text, source)
-    findings = list(syntax)
+    if syntax:
+        return None, syntax
+    findings: list[Finding] = []
     values: dict[str, Any] = {}
     for section in document.sections:
-        kind = SECTIONS.get(section.name)
-        if kind is None:
+        if section.name not in SECTIONS:
             hint = suggest(section.name, tuple(SECTIONS))
             findings.append(Finding(section.place, f"section [{section.name}] is unknown{hint}"))
+    for name, kind in SECTIONS.items():
+        if name != "instance" and not values["instance"] and not document.get(name):
             continue
-        values[section.name], more = read_section(section, kind)
+        section = document.get(name) or IniSection(name, Place(source, 0, name), ())
+        values[name], more = read_section(_inherit(section, kind, document), kind)
         findings += more
-    if not syntax and not document.get("instance"):
-        findings += _missing_instance(document)
     return (None if findings else Settings(**values)), tuple(findings)
 
 
-def _missing_instance(document: IniDocument) -> list[Finding]:
-    place = Place(document.source)
-    _, findings = read_section(IniSection("instance", place, ()), InstanceSettings)
-    return [Finding(place, "section [instance] is missing"), *findings]
+def _inherit(section: IniSection, kind: type, document: IniDocument) -> IniSection:
+    """Take what a section requires and does not give from [instance], which knows the zone."""
+    instance = document.get("instance")
+    if instance is None or section.name == "instance":
+        return section
+    names = {item.name for item in fields(kind)}
+    inherited = tuple(
+        entry for entry in instance.entries if entry.key in names and section.get(entry.key) is None
+    )
+    return replace(section, entries=section.entries + inherited)
