Add the membership of entry instances

Cause: what instances share rests on knowing which of them are live, with a list of the platform that lags, is empty or is gone. Probes of ring neighbours (all up to 10 others, else places 1, 2, 4, 8, ... further on), confirmation through others, suspicion that a live peer refutes with a higher revision of its incarnation, excuse of everybody after a pause of one's own, statements that ride on heartbeats, zones out of reach, digests of other subjects. A virtual network of these decisions as a stand-in for tests and measurements. Found by its tests and mended: an instance that starts at the address of an earlier one heard its own heartbeats and failed; a peer refuted what the platform's list said of it.

--- /dev/null
+++ b/savoryarch/membership/__init__.py
@@ -0,0 +1,33 @@
+"""Decides which entry instances are live.
+
+The platform's lagging list says who may be there; heartbeats say who is. Each instance probes a
+few neighbours in turn, asks others to confirm that a silent one is reachable, and spreads what
+it learns on the heartbeats themselves, so that the cost per instance does not grow with the
+number of instances.
+"""
+
+from savoryarch.membership._decide import decide_membership
+from savoryarch.membership._ring import neighbours_on_ring
+from savoryarch.membership._settings import MembershipSettings
+from savoryarch.membership._state import (
+    Member,
+    MembershipState,
+    PeerStatus,
+    live_peers,
+    make_membership_state,
+    peer_statuses,
+    reachable_peers,
+)
+
+__all__ = [
+    "Member",
+    "MembershipSettings",
+    "MembershipState",
+    "PeerStatus",
+    "decide_membership",
+    "live_peers",
+    "make_membership_state",
+    "neighbours_on_ring",
+    "peer_statuses",
+    "reachable_peers",
+]
--- /dev/null
+++ b/savoryarch/membership/_settings.py
@@ -0,0 +1,52 @@
+"""Settings of the membership."""
+
+from dataclasses import dataclass
+
+from savoryarch.utils import Number, setting
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """Settings of the membership; the same on every entry instance."""
+
+    probe_interval_ms: float = setting(
+        Number(10, 60_000), "Time in ms between two heartbeats of an instance.", 500.0
+    )
+    probe_timeout_ms: float = setting(
+        Number(10, 60_000),
+        "Time in ms that a peer has to answer, and again that others have to confirm it.",
+        500.0,
+    )
+    indirect_probes: int = setting(
+        Number(0, 10, whole=True), "Peers that are asked to confirm one that is silent.", 3
+    )
+    suspicion_ms: float = setting(
+        Number(10, 600_000),
+        "Time in ms that a suspected peer has to answer before it counts as dead; grows with the "
+        "logarithm of the number of instances.",
+        2000.0,
+    )
+    list_interval_ms: float = setting(
+        Number(10, 600_000), "Time in ms between two readings of the instance list.", 2000.0
+    )
+    pause_ms: float = setting(
+        Number(10, 600_000),
+        "Delay in ms of a heartbeat from which this instance takes itself to have been paused and "
+        "blames no peer for silence.",
+        1000.0,
+    )
+    dead_probe_interval_ms: float = setting(
+        Number(10, 600_000), "Time in ms between two probes of peers that count as dead.", 5000.0
+    )
+    forget_ms: float = setting(
+        Number(1000, 86_400_000), "Time in ms that a dead peer is remembered.", 600_000.0
+    )
+    zone_unreachable_ms: float = setting(
+        Number(0, 600_000),
+        "Time in ms without a live peer in an availability zone until the zone counts as "
+        "unreachable.",
+        10_000.0,
+    )
+    piggyback_bytes: int = setting(
+        Number(0, 65_536, whole=True), "Bytes of statements that ride on one heartbeat.", 700
+    )
--- a/savoryarch/model/_membership.py
+++ b/savoryarch/model/_membership.py
@@ -125,6 +125,14 @@
     digest: SubjectDigest
 
 
+@dataclass(frozen=True, slots=True)
+class PeerRestarted:
+    """A known peer has a newer incarnation; informs the other decisions."""
+
+    peer_id: str
+    incarnation: int
+
+
 @dataclass(frozen=True, slots=True)
 class ZonesChanged:
     """Availability zones became unreachable or reachable; informs the other decisions.
--- /dev/null
+++ b/savoryarch_standins/virtual_peers/_network.py
@@ -0,0 +1,249 @@
+"""Runs membership decisions against each other in virtual time."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from itertools import count
+from random import Random
+
+from savoryarch.membership import (
+    MembershipSettings,
+    MembershipState,
+    decide_membership,
+    make_membership_state,
+)
+from savoryarch.model import (
+    ConnectPeer,
+    Count,
+    DisconnectPeer,
+    Inform,
+    InstanceListFailed,
+    InstanceRole,
+    InstancesListed,
+    ListedInstance,
+    ListedState,
+    PeerSaid,
+    ReadInstanceList,
+    SetTimer,
+    Started,
+    TellPeer,
+    TimerFired,
+)
+
+RECEIVE_BUFFER_MESSAGES = 256
+
+
+@dataclass(frozen=True, slots=True)
+class Conditions:
+    """What the network and the list are like.
+
+    Parameters
+    ----------
+    latency_ms : tuple of float
+        Shortest and longest time of a message on its way.
+    loss_share : float
+        Share of the messages that are lost.
+    is_cut : callable
+        Whether a message from one instance id to another is lost.
+    list_lag_ms : float
+        Time until a change of the instances is seen in the list.
+    list_kind : str
+        ``fresh``, ``empty`` or ``failed``; for a stale one, raise the lag.
+    """
+
+    latency_ms: tuple[float, float] = (0.5, 3.0)
+    loss_share: float = 0.0
+    is_cut: Callable[[str, str], bool] = lambda sender_id, receiver_id: False
+    list_lag_ms: float = 3000.0
+    list_kind: str = "fresh"
+
+
+@dataclass(slots=True, frozen=True)
+class Instance:
+    """One instance as the network sees it."""
+
+    instance_id: str
+    availability_zone: str
+    host: str
+    port: int
+    incarnation: int
+    state: MembershipState
+    timers: dict[str, int] = field(default_factory=dict)
+    addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
+    held: list[object] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class _Timer:
+    timer_id: str
+    order: int
+
+
+class VirtualPeers:
+    """Instances, their messages on the way, and the list.
+
+    Parameters
+    ----------
+    settings : MembershipSettings
+        Of every instance.
+    seed : int
+        Of the losses and latencies.
+    measure : callable, optional
+        Called with sender id, receiver id and message for each message that is sent.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        seed: int = 1,
+        measure: Callable[[str, str, object], None] | None = None,
+    ) -> None:
+        self.now_ms = 0.0
+        self.conditions = Conditions()
+        self.running: dict[str, Instance] = {}
+        self.frozen: set[str] = set()
+        self.counts: Counter[tuple[str, str]] = Counter()
+        self.informed: list[tuple[float, str, object]] = []
+        self._settings = settings
+        self._draw = Random(seed)
+        self._measure = measure
+        self._due: list[tuple[float, int, str, int, object]] = []
+        self._order = count()
+        self._rows: dict[str, ListedInstance] = {}
+        self._history: list[tuple[float, tuple[ListedInstance, ...]]] = [(0.0, ())]
+
+    def start(
+        self, instance_id: str, zone: str, port: int, host: str = "10.0.0.1", *, listed: bool = True
+    ) -> None:
+        """Start an instance; one that runs under the same id is killed."""
+        self.kill(instance_id, listed=True)
+        incarnation = 1 + int(self.now_ms)
+        state = make_membership_state(self._settings, host, port)
+        instance = Instance(instance_id, zone, host, port, incarnation, state)
+        self.running[instance_id] = instance
+        if listed:
+            self.list_row(instance_id, zone, host, port)
+        self.feed(instance_id, Started(instance_id, zone, incarnation))
+
+    def kill(self, instance_id: str, *, listed: bool = False) -> None:
+        """End an instance at once; unless `listed`, it goes from the list after the lag."""
+        self.running.pop(instance_id, None)
+        self.frozen.discard(instance_id)
+        if not listed:
+            self.unlist(instance_id)
+
+    def freeze(self, instance_id: str) -> None:
+        """Stop an instance without ending it."""
+        self.frozen.add(instance_id)
+
+    def resume(self, instance_id: str) -> None:
+        """Let a frozen instance go on; it gets what arrived meanwhile."""
+        self.frozen.discard(instance_id)
+        held, self.running[instance_id].held[:] = list(self.running[instance_id].held), []
+        for event in held:
+            self.feed(instance_id, event)
+
+    def list_row(
+        self, instance_id: str, zone: str, host: str, port: int, state: str = "live"
+    ) -> None:
+        """Set a row of the list."""
+        self._rows[instance_id] = ListedInstance(
+            instance_id, InstanceRole.ENTRY, zone, host, port, ListedState(state)
+        )
+        self._history.append((self.now_ms, tuple(self._rows.values())))
+
+    def unlist(self, instance_id: str) -> None:
+        """Delete a row of the list."""
+        self._rows.pop(instance_id, None)
+        self._history.append((self.now_ms, tuple(self._rows.values())))
+
+    def run(self, duration_ms: float, until: Callable[[], bool] | None = None) -> bool:
+        """Let time pass; returns whether `until` became true."""
+        ends_at_ms = self.now_ms + duration_ms
+        while self._due and self._due[0][0] <= ends_at_ms:
+            if until is not None and until():
+                return True
+            at_ms, _, instance_id, incarnation, event = heapq.heappop(self._due)
+            self.now_ms = at_ms
+            instance = self.running.get(instance_id)
+            if instance is not None and instance.incarnation == incarnation:
+                self._arrive(instance, event)
+        self.now_ms = ends_at_ms
+        return until is not None and until()
+
+    def feed(self, instance_id: str, event: object) -> None:
+        """Give an instance an event now."""
+        instance = self.running[instance_id]
+        decided = decide_membership(instance.state, event, self.now_ms)
+        self.running[instance_id] = replace(instance, state=decided.state)
+        for effect in decided.effects:
+            self._perform(self.running[instance_id], effect)
+
+    def live_seen_by(self, instance_id: str) -> frozenset[str]:
+        """Return the live peers of an instance."""
+        return self.running[instance_id].state.live
+
+    def _arrive(self, instance: Instance, event: object) -> None:
+        match event:
+            case _Timer(timer_id, order):
+                if instance.timers.get(timer_id) != order:
+                    return
+                event = TimerFired(timer_id)
+        if instance.instance_id not in self.frozen:
+            self.feed(instance.instance_id, event)
+        elif len(instance.held) < RECEIVE_BUFFER_MESSAGES:
+            instance.held.append(event)
+
+    def _perform(self, instance: Instance, effect: object) -> None:
+        match effect:
+            case SetTimer(timer_id, at_ms):
+                order = next(self._order)
+                instance.timers[timer_id] = order
+                self._schedule(at_ms, instance, _Timer(timer_id, order))
+            case ConnectPeer(peer_id, host, port):
+                instance.addresses[peer_id] = (host, port)
+            case DisconnectPeer(peer_id):
+                instance.addresses.pop(peer_id, None)
+            case TellPeer(peer_id, message):
+                self._send(instance, peer_id, message)
+            case ReadInstanceList():
+                latency_ms = self._draw.uniform(*self.conditions.latency_ms)
+                self._schedule(self.now_ms + latency_ms, instance, self._read_list())
+            case Inform(event):
+                self.informed.append((self.now_ms, instance.instance_id, event))
+            case Count(counter, reason, by):
+                self.counts[(counter, reason)] += by
+
+    def _send(self, sender: Instance, peer_id: str, message: object) -> None:
+        if self._measure is not None:
+            self._measure(sender.instance_id, peer_id, message)
+        address = sender.addresses.get(peer_id)
+        receiver = self._at(address, peer_id)
+        if receiver is None or self._draw.random() < self.conditions.loss_share:
+            return
+        if self.conditions.is_cut(sender.instance_id, receiver.instance_id):
+            return
+        at_ms = self.now_ms + self._draw.uniform(*self.conditions.latency_ms)
+        self._schedule(at_ms, receiver, PeerSaid(sender.instance_id, message))
+
+    def _at(self, address: tuple[str, int] | None, peer_id: str) -> Instance | None:
+        named = self.running.get(peer_id)
+        if named is not None and (named.host, named.port) == address:
+            return named
+        found = (peer for peer in self.running.values() if (peer.host, peer.port) == address)
+        return next(found, None) if address else None
+
+    def _read_list(self) -> object:
+        match self.conditions.list_kind:
+            case "failed":
+                return InstanceListFailed("outage")
+            case "empty":
+                return InstancesListed(())
+        seen_at_ms = self.now_ms - self.conditions.list_lag_ms
+        seen = [rows for at_ms, rows in self._history if at_ms <= seen_at_ms]
+        return InstancesListed(seen[-1] if seen else ())
+
+    def _schedule(self, at_ms: float, instance: Instance, event: object) -> None:
+        due = (at_ms, next(self._order), instance.instance_id, instance.incarnation, event)
+        heapq.heappush(self._due, due)
