Add admission: classes, fair queueing, bounded waits, adaptive limit

Cause: the tier has to refuse early and truthfully under overload, and one greedy caller or slow pool must hold up nobody else. Change: savoryarch/admission, a pure library over persistent heaps (savoryarch/utils/_heap.py); the shape check now counts admission and quarantine among the decisions.

--- /dev/null
+++ b/savoryarch/admission/tests/test_admission.py
@@ -0,0 +1,266 @@
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from savoryarch.admission import (
+    AdmissionSettings,
+    Admitted,
+    FixedLimit,
+    NoLimit,
+    Queued,
+    Ticket,
+    TurnedAway,
+    finish,
+    make_admission_state,
+    offer,
+    take,
+    withdraw_ticket,
+)
+from savoryarch.model import Priority, RefusalReason
+
+TICKET = Ticket("r", "p", "c", "s", Priority.NORMAL, 1000.0, 10.0, 1.0)
+PRIORITIES = {"u": Priority.URGENT, "n": Priority.NORMAL, "b": Priority.BATCH}
+
+
+def make_state(limit=1.0, **changes):
+    changes = {"urgent_headroom": 0.0, **changes}
+    return make_admission_state(AdmissionSettings(policy=FixedLimit(limit), **changes))
+
+
+def offer_all(state, tickets, now_ms=0.0):
+    outcomes = []
+    for ticket in tickets:
+        offered = offer(state, ticket, now_ms)
+        state = offered.state
+        outcomes.append(offered.outcome)
+    return state, outcomes
+
+
+def drain(state, first, count, now_ms=1.0):
+    """End one request after the other and return the tickets in the order of admission."""
+    order, running = [], [first]
+    while running and len(order) < count:
+        state = finish(state, running.pop(0), now_ms)
+        taken = take(state, now_ms)
+        state = taken.state
+        order += taken.admitted
+        running += [ticket.request_id for ticket in taken.admitted]
+    return state, order
+
+
+def tickets_of(names, **changes):
+    """Make tickets from words: priority, caller, search, for example ``u.a.x``."""
+    made = []
+    for number, name in enumerate(names):
+        priority, caller, search = name.split(".")
+        made.append(
+            replace(
+                TICKET,
+                request_id=f"{name}.{number}",
+                priority=PRIORITIES[priority],
+                caller=caller,
+                search=search,
+                **changes,
+            )
+        )
+    return made
+
+
+@pytest.mark.parametrize(
+    ("changes", "setting", "outcome"),
+    [
+        ({}, {}, Queued(0.0)),
+        ({"pool": "other"}, {}, Admitted()),
+        ({"deadline_at_ms": 9.0}, {}, TurnedAway(RefusalReason.DEADLINE_TOO_SHORT, None)),
+        ({}, {"max_waiting_per_caller": 1}, TurnedAway(RefusalReason.OVERLOADED, 1.0)),
+        ({}, {"max_waiting": 1}, TurnedAway(RefusalReason.OVERLOADED, 1.0)),
+        ({"caller": "d"}, {"max_waiting_per_caller": 1}, Queued(0.0)),
+        ({"pool": "other"}, {"instance_limit": 1}, Queued(0.0)),
+    ],
+)
+def test_outcomes_of_an_offer_to_a_full_pool(changes, setting, outcome):
+    state, _ = offer_all(make_state(**setting), tickets_of(["n.c.s", "n.c.s"]))
+    assert offer(state, replace(TICKET, **changes), 0.0).outcome == outcome
+
+
+@pytest.mark.parametrize(
+    ("ahead", "deadline_at_ms", "outcome"),
+    [
+        (0, 131.0, Queued(100.0)),
+        (0, 129.0, TurnedAway(RefusalReason.OVERLOADED, 100.0)),
+        (4, 531.0, Queued(500.0)),
+        (4, 500.0, TurnedAway(RefusalReason.OVERLOADED, 110.0)),
+    ],
+)
+def test_a_request_that_cannot_be_in_time_is_refused_at_once(ahead, deadline_at_ms, outcome):
+    state, _ = offer_all(make_state(), tickets_of(["n.c.s"]))
+    state = finish(state, "n.c.s.0", 100.0)
+    state, _ = offer_all(state, tickets_of(["n.c.s"] * (ahead + 1)), 100.0)
+    ticket = replace(TICKET, deadline_at_ms=deadline_at_ms + 80.0, expected_ms=90.0)
+    offered = offer(state, replace(ticket, expected_ms=10.0), 100.0)
+    match outcome:
+        case Queued():
+            assert offered.outcome == outcome
+        case TurnedAway(reason=reason):
+            assert offered.outcome.reason == reason
+            assert offered.outcome.retry_after_ms > 0
+
+
+@pytest.mark.parametrize(
+    ("names", "weights", "count", "expected"),
+    [
+        (["n.a.x"] * 9 + ["n.b.x"] * 9, {}, 8, {"a": 4, "b": 4}),
+        (["n.a.x"] * 9 + ["n.b.x"] * 9, {"a": 3.0}, 8, {"a": 6, "b": 2}),
+        (["n.a.x"] * 90 + ["n.b.x"], {}, 3, {"a": 2, "b": 1}),
+        (["n.a.x"] * 9 + ["n.a.y"] * 9 + ["n.b.x"] * 9, {}, 8, {"a": 4, "b": 4}),
+    ],
+)
+def test_callers_share_by_weight(names, weights, count, expected):
+    tickets = [
+        replace(ticket, weight=weights.get(ticket.caller, 1.0)) for ticket in tickets_of(names)
+    ]
+    state, _ = offer_all(make_state(), [replace(TICKET, request_id="first"), *tickets])
+    _, order = drain(state, "first", count)
+    assert Counter(ticket.caller for ticket in order[:count]) == expected
+
+
+def test_searches_of_a_caller_share_evenly():
+    tickets = tickets_of(["n.a.x"] * 9 + ["n.a.y"] * 9)
+    state, _ = offer_all(make_state(), [replace(TICKET, request_id="first"), *tickets])
+    _, order = drain(state, "first", 8)
+    assert Counter(ticket.search for ticket in order) == {"x": 4, "y": 4}
+
+
+@pytest.mark.parametrize(
+    ("setting", "count", "expected"),
+    [
+        ({"normal_floor": 0.0, "batch_floor": 0.0}, 20, {Priority.URGENT: 20}),
+        (
+            {"normal_floor": 0.25, "batch_floor": 0.0},
+            50,
+            {Priority.URGENT: 37, Priority.NORMAL: 13},
+        ),
+    ],
+)
+def test_urgent_first_with_a_floor(setting, count, expected):
+    tickets = tickets_of(["n.a.x"] * 60 + ["u.a.x"] * 60)
+    state, _ = offer_all(make_state(**setting), [replace(TICKET, request_id="first"), *tickets])
+    _, order = drain(state, "first", count)
+    assert Counter(ticket.priority for ticket in order) == expected
+
+
+def test_urgent_requests_may_use_more_than_the_limit():
+    state = make_state(limit=4.0, urgent_headroom=0.25)
+    state, outcomes = offer_all(state, tickets_of(["n.a.x"] * 5 + ["u.a.x"] * 2))
+    assert [type(outcome) for outcome in outcomes] == [Admitted] * 4 + [Queued, Admitted, Queued]
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "expired", "wake_at_ms"),
+    [(990.0, 0, 990.0), (990.1, 2, None)],
+)
+def test_waiting_requests_expire(now_ms, expired, wake_at_ms):
+    state, _ = offer_all(make_state(), tickets_of(["n.a.x"] * 3))
+    taken = take(state, now_ms)
+    assert (len(taken.expired), taken.wake_at_ms) == (expired, wake_at_ms)
+    assert len(taken.state.waiting) == 2 - expired
+
+
+def test_a_withdrawn_request_is_not_admitted():
+    state, _ = offer_all(make_state(), tickets_of(["n.a.x"] * 3))
+    state = withdraw_ticket(state, "n.a.x.1")
+    _, order = drain(state, "n.a.x.0", 2)
+    assert [ticket.request_id for ticket in order] == ["n.a.x.2"]
+
+
+def test_without_a_limit_everything_is_admitted():
+    state = make_admission_state(AdmissionSettings(policy=NoLimit()))
+    _, outcomes = offer_all(state, tickets_of(["n.a.x"] * 500))
+    assert set(outcomes) == {Admitted()}
+
+
+@pytest.mark.parametrize(
+    ("latency_ms", "sheds", "low", "high"),
+    [(10.0, 0, 101, 4000), (40.0, 0, 10, 99), (10.0, 1, 10, 99)],
+)
+def test_the_limit_adapts(latency_ms, sheds, low, high):
+    state = make_admission_state(AdmissionSettings(initial_limit=100.0, window=10))
+    for number in range(40):  # an idle pool first
+        state = offer(state, replace(TICKET, request_id=f"i{number}"), 0.0).state
+        state = finish(state, f"i{number}", 10.0)
+    now_ms = 10.0
+    for batch in range(5):
+        tickets = [replace(TICKET, request_id=f"{batch}.{number}") for number in range(110)]
+        state, _ = offer_all(state, tickets, now_ms)
+        now_ms += latency_ms
+        for ticket in tickets:
+            state = finish(state, ticket.request_id, now_ms, sheds=sheds)
+        while (taken := take(state, now_ms)).admitted:
+            state = taken.state
+            for ticket in taken.admitted:
+                state = finish(state, ticket.request_id, now_ms + latency_ms, sheds=sheds)
+        now_ms += latency_ms
+    assert low <= state.pools["p"].limit.value <= high
+
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["offer", "finish", "withdraw", "wait"]),
+        st.integers(0, 30),
+        st.sampled_from(["u.a.x", "n.a.y", "n.b.x", "b.c.x"]),
+        st.floats(1.0, 60.0),
+    ),
+    max_size=80,
+)
+
+
+def act(state, action, now_ms, number):
+    """Carry out one action; return the state and the request that it ended, if any."""
+    kind, which, name, left_ms = action
+    if kind == "offer":
+        (ticket,) = tickets_of([name], deadline_at_ms=now_ms + left_ms, expected_ms=0.0)
+        ticket = replace(ticket, request_id=str(number), cost=1.0 + which % 2)
+        offered = offer(state, ticket, now_ms)
+        turned_away = isinstance(offered.outcome, TurnedAway)
+        return offered.state, str(number) if turned_away else None
+    places = {"finish": state.running, "withdraw": state.waiting}.get(kind)
+    if not places:
+        return state, None
+    request_id = sorted(places)[which % len(places)]
+    if kind == "finish":
+        return finish(state, request_id, now_ms), request_id
+    return withdraw_ticket(state, request_id), request_id
+
+
+@given(ACTIONS)
+@settings(derandomize=True, max_examples=150, deadline=None)
+def test_every_request_gets_one_outcome_and_limits_hold(actions):
+    state, now_ms = make_state(limit=3.0), 0.0
+    offered, ended = [], []
+    for number, action in enumerate(actions):
+        if action[0] == "offer":
+            offered.append(str(number))
+        if action[0] == "wait":
+            now_ms += action[3]
+        state, request_id = act(state, action, now_ms, number)
+        ended += [request_id] if request_id else []
+        taken = take(state, now_ms)
+        state = taken.state
+        ended += [ticket.request_id for ticket in taken.expired]
+        assert all(ticket.latest_start_at_ms >= now_ms for ticket in taken.admitted)
+        check_sums(state)
+    assert sorted([*ended, *state.waiting, *state.running]) == sorted(offered)
+
+
+def check_sums(state):
+    pool = state.pools.get("p")
+    if pool is None:
+        return
+    assert pool.in_flight == sum(running.ticket.cost for running in state.running.values())
+    assert pool.in_flight < 3.0 + 2.0  # the last one may reach past the limit
+    waiting = sum(ticket.cost for ticket in state.waiting.values())
+    assert sum(queue.cost for queue in pool.classes) == pytest.approx(waiting)
+    assert not (state.waiting and pool.in_flight < 3.0)  # nothing waits beside a free place
--- a/savoryarch/utils/__init__.py
+++ b/savoryarch/utils/__init__.py
@@ -2,6 +2,7 @@
 
 from savoryarch.utils._clock import Clock, make_system_clock, make_wall_clock
 from savoryarch.utils._findings import Finding, Place, format_findings
+from savoryarch.utils._heap import Heap, heap_pop, heap_push
 from savoryarch.utils._ini import IniDocument, IniEntry, IniSection, read_ini
 from savoryarch.utils._validation import (
     NAME,
@@ -30,6 +31,7 @@
     "Clock",
     "Constraint",
     "Finding",
+    "Heap",
     "IniDocument",
     "IniEntry",
     "IniSection",
@@ -41,6 +43,8 @@
     "Words",
     "entry_value",
     "format_findings",
+    "heap_pop",
+    "heap_push",
     "make_system_clock",
     "make_wall_clock",
     "parse_value",
--- a/tests/check_shape.py
+++ b/tests/check_shape.py
@@ -11,6 +11,7 @@
 ROOT = Path(__file__).parent.parent
 PACKAGES = ("savoryarch", "savoryarch_standins", "savoryarch_bench", "benchmarks", "examples")
 DECISIONS = {
+    "admission",
     "model",
     "charts",
     "targets",
@@ -19,6 +20,7 @@
     "configuration",
     "membership",
     "notices",
+    "quarantine",
     "shutdown",
     "tier",
 }
