Compare notes when peers take different instances to be live

Cause: with statements that ride 5 to a heartbeat instead of 14, one test of a zone cut among 20 instances stayed red after 30 s: sends to peers that are cut off use up the sends of a statement, and one of 15 instances never heard that a peer was dead. Sending each statement oftener makes that rarer, not impossible. Change: each heartbeat carries a digest of the live set; a difference that outlasts the last change by 5 s makes the two exchange what departs from the platform's list, and a statement that holds a live member for lost is corrected.

--- a/savoryarch/membership/_believe.py
+++ b/savoryarch/membership/_believe.py
@@ -55,7 +55,7 @@
     if member is None:
         return _meet(state, update, now_ms)
     if not _overrides(update, member):
-        return Decided(state)
+        return Decided(_correct(state, update, member))
     event = _EVENT_OF_STATUS[update.status]
     effects: tuple[object, ...] = ()
     if (update.host, update.port) != (member.update.host, member.update.port):
@@ -109,6 +109,19 @@
     return stated >= known
 
 
+def _correct(state: MembershipState, update: MemberUpdate, member: Member) -> MembershipState:
+    """Spread what is newer than a statement that holds a live member for lost."""
+    instance_id = update.instance_id
+    is_lost = update.status in (MemberStatus.SUSPECTED, MemberStatus.DEAD)
+    is_older = (update.incarnation, update.revision) < (
+        member.update.incarnation,
+        member.update.revision,
+    )
+    if is_lost and is_older and instance_id in state.live and instance_id not in state.spreading:
+        return start_spreading(state, instance_id)
+    return state
+
+
 def _refute(state: MembershipState, update: MemberUpdate) -> Decided[MembershipState]:
     me = state.me
     if update.incarnation > me.incarnation:
--- a/savoryarch/membership/_decide.py
+++ b/savoryarch/membership/_decide.py
@@ -7,6 +7,12 @@
 from savoryarch.membership._believe import ask_to_refute, believe, observe, then
 from savoryarch.membership._list import LIST_TIMER, apply_list, next_reading
 from savoryarch.membership._probe import TICK_TIMER, probe, probed_neighbours, relay_probe, tick
+from savoryarch.membership._repair import (
+    compare,
+    digest_of_live,
+    needs_to_compare,
+    note_comparison,
+)
 from savoryarch.membership._spread import fitting_digests, make_ack
 from savoryarch.membership._state import MembershipState, live_peers, with_member
 from savoryarch.membership._zones import note_zones
@@ -56,10 +62,13 @@
         ``Inform(PeersChanged(...))`` is among the effects whenever the live peers changed.
     """
     decided = _decide(state, event, now_ms)
-    if decided.state.live == state.live:
+    if decided.state.live == state.live and decided.state.me == state.me:
         return decided
-    changed = Inform(PeersChanged(live_peers(decided.state)))
-    return Decided(decided.state, (*decided.effects, changed))
+    after = replace(decided.state, live_digest=digest_of_live(decided.state))
+    if after.live == state.live:
+        return Decided(after, decided.effects)
+    after = replace(after, live_changed_at_ms=now_ms)
+    return Decided(after, (*decided.effects, Inform(PeersChanged(live_peers(after)))))
 
 
 def _decide(state: MembershipState, event: object, now_ms: float) -> Decided[MembershipState]:
@@ -139,20 +148,25 @@
     decided = then(decided, _note_digests, sender.instance_id, message.digests)
     if is_newcomer:
         decided = then(decided, _note_replaced, sender, now_ms)
+    needs_repair = needs_to_compare(decided.state, message.live_digest, now_ms)
+    if needs_repair:
+        decided = then(decided, note_comparison, now_ms)
     match message:
         case Ping():
-            return then(decided, _answer, message, is_newcomer)
+            return then(decided, _answer, message, is_newcomer or needs_repair)
         case Ack():
             decided = then(decided, _note_answer, message)
             if decided.state.me.revision != revision:
                 # The peer believed something of this instance that was just refuted.
                 return then(decided, probe, sender.instance_id, now_ms)
+            if needs_repair:
+                return then(decided, compare, sender.instance_id)
             return then(decided, ask_to_refute, sender.instance_id)
 
 
-def _answer(state: MembershipState, ping: Ping, is_newcomer: bool) -> Decided[MembershipState]:
+def _answer(state: MembershipState, ping: Ping, with_exceptions: bool) -> Decided[MembershipState]:
     peer_id = ping.sender.instance_id
-    state, ack = make_ack(state, ping.probe_id, peer_id, is_newcomer)
+    state, ack = make_ack(state, ping.probe_id, peer_id, with_exceptions)
     return Decided(state, (TellPeer(peer_id, ack),))
 
 
--- a/savoryarch/membership/_settings.py
+++ b/savoryarch/membership/_settings.py
@@ -47,6 +47,12 @@
         "unreachable.",
         10_000.0,
     )
+    repair_interval_ms: float = setting(
+        Number(100, 600_000),
+        "Time in ms without a change from which an instance compares notes with peers that take "
+        "others to be live; also the least time between two comparisons.",
+        5000.0,
+    )
     piggyback_bytes: int = setting(
         Number(0, 65_536, whole=True), "Bytes of statements that ride on one heartbeat.", 700
     )
--- a/savoryarch/membership/_spread.py
+++ b/savoryarch/membership/_spread.py
@@ -29,18 +29,24 @@
 def make_ping(state: MembershipState, probe_id: int, peer_id: str) -> tuple[MembershipState, Ping]:
     """Make a heartbeat for a peer, with what it needs to refute if it is not believed live."""
     state, updates = _take_updates(state, belief_about(state, peer_id))
-    return state, Ping(probe_id, state.me, updates, state.digests)
+    return state, Ping(probe_id, state.me, updates, state.digests, state.live_digest)
+
+
+def make_repairing_ping(state: MembershipState, probe_id: int, peer_id: str) -> Ping:
+    """Make a heartbeat for a peer that takes others to be live, with what may differ."""
+    updates = belief_about(state, peer_id) + _exceptions(state, peer_id)
+    return Ping(probe_id, state.me, updates, state.digests, state.live_digest)
 
 
 def make_ack(
-    state: MembershipState, probe_id: int, peer_id: str, is_newcomer: bool
+    state: MembershipState, probe_id: int, peer_id: str, with_exceptions: bool
 ) -> tuple[MembershipState, Ack]:
-    """Make the answer to a heartbeat; a newcomer gets what differs from the platform's list."""
+    """Make the answer to a heartbeat, if asked for with what differs from the platform's list."""
     first = belief_about(state, peer_id)
-    if is_newcomer:
+    if with_exceptions:
         first += _exceptions(state, peer_id)
     state, updates = _take_updates(state, first)
-    return state, Ack(probe_id, state.me, updates, state.digests)
+    return state, Ack(probe_id, state.me, updates, state.digests, state.live_digest)
 
 
 def belief_about(state: MembershipState, peer_id: str) -> tuple[MemberUpdate, ...]:
--- a/savoryarch/membership/_state.py
+++ b/savoryarch/membership/_state.py
@@ -111,6 +111,10 @@
         When the last heartbeat, and the last probe of a dead member, were due.
     unreachable_zones : tuple of str
         Zones that count as unreachable.
+    live_digest : int
+        Identifies the live instances, this one included.
+    live_changed_at_ms, repaired_at_ms : float
+        When the live instances last changed, and when notes were last compared with a peer.
     """
 
     settings: MembershipSettings
@@ -129,6 +133,9 @@
     ticked_at_ms: float = 0.0
     dead_probed_at_ms: float = 0.0
     unreachable_zones: tuple[str, ...] = ()
+    live_digest: int = 0
+    live_changed_at_ms: float = 0.0
+    repaired_at_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/model/_membership.py
+++ b/savoryarch/model/_membership.py
@@ -76,12 +76,15 @@
         Statements about others that ride along.
     digests : tuple of SubjectDigest
         What the sender has in force.
+    live_digest : int
+        Identifies the set of instances that the sender takes to be live.
     """
 
     probe_id: int
     sender: MemberUpdate
     updates: tuple[MemberUpdate, ...] = ()
     digests: tuple[SubjectDigest, ...] = ()
+    live_digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +95,7 @@
     sender: MemberUpdate
     updates: tuple[MemberUpdate, ...] = ()
     digests: tuple[SubjectDigest, ...] = ()
+    live_digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
