--- /dev/null
+++ b/savoryarch/api/__init__.py
@@ -0,0 +1,17 @@
+"""The operators' API over HTTP."""
+
+from savoryarch.api._access import Access, Role, Token, find_role, hash_token, make_token
+from savoryarch.api._app import make_operator_app
+from savoryarch.api._bridge import OperatorBridge, OperatorState
+
+__all__ = [
+    "Access",
+    "OperatorBridge",
+    "OperatorState",
+    "Role",
+    "Token",
+    "find_role",
+    "hash_token",
+    "make_operator_app",
+    "make_token",
+]
--- /dev/null
+++ b/savoryarch/api/_requests.py
@@ -0,0 +1,154 @@
+"""Requests of operators, read as a whole and checked."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from msgspec import DecodeError, json
+
+from savoryarch.model import (
+    Change,
+    DeleteResource,
+    Kind,
+    PutResource,
+    ResourceKey,
+    RestoreChoice,
+    SettleRestore,
+)
+from savoryarch.resources import resource_from_json
+from savoryarch.utils import Finding, Place, suggest
+
+MAX_BODY_BYTES = 1024 * 1024
+MAX_CHANGES = 10_000
+MAX_WAIT_MS = 60_000.0
+DEFAULT_WAIT_MS = 30_000.0
+CHANGE_ID_CHARACTERS = 128
+
+
+class BadRequestError(Exception):
+    """A request that cannot be used; becomes a typed error."""
+
+    def __init__(self, status: int, reason: str, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.reason = reason
+        self.detail = detail
+
+
+class FindingsRequestError(Exception):
+    """A request that was read as a whole and is wrong."""
+
+    def __init__(self, findings: tuple[Finding, ...]) -> None:
+        super().__init__(f"{len(findings)} findings")
+        self.findings = findings
+
+
+@dataclass(frozen=True, slots=True)
+class AppliedChanges:
+    """The body of ``POST /v1/apply``; an empty `change_id` lets the instance choose one."""
+
+    change_id: str
+    changes: tuple[Change, ...]
+
+
+def read_kind(word: str) -> Kind:
+    """Read the kind of a resource from the path."""
+    kinds = tuple(kind.value for kind in Kind)
+    if word not in kinds:
+        detail = f"kind {word!r} is unknown{suggest(word, kinds)}; kinds are {', '.join(kinds)}"
+        raise BadRequestError(404, "unknown_kind", detail)
+    return Kind(word)
+
+
+def read_json(body: bytes) -> Any:
+    """Decode a JSON body."""
+    if len(body) > MAX_BODY_BYTES:
+        detail = f"got a body of {len(body)} bytes, over {MAX_BODY_BYTES}"
+        raise BadRequestError(413, "body_too_large", detail)
+    try:
+        return json.decode(body)
+    except (DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise BadRequestError(400, "malformed_body", f"body is not JSON: {error}") from error
+
+
+def read_number(text: str | None, name: str, default: float | None, high: float) -> float | None:
+    """Read a number from the query string."""
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value <= high:
+        detail = f"got {name}={text!r}, expected a number from 0 to {high:g}"
+        raise BadRequestError(400, "malformed_query", detail)
+    return value
+
+
+def read_put(kind: Kind, name: str, body: bytes, expected_revision: int | None) -> PutResource:
+    """Read the body of a ``PUT`` of one resource."""
+    resource, findings = resource_from_json(kind, name, read_json(body))
+    if resource is None:
+        raise FindingsRequestError(findings)
+    return PutResource(resource, expected_revision)
+
+
+def read_apply(body: bytes) -> AppliedChanges:
+    """Read the body of ``POST /v1/apply``."""
+    value = read_json(body)
+    if not isinstance(value, dict) or not isinstance(value.get("changes"), list):
+        raise FindingsRequestError((_finding("changes", "expected an array of changes"),))
+    listed = value["changes"]
+    if not 1 <= len(listed) <= MAX_CHANGES:
+        message = f"got {len(listed)} changes, expected 1 to {MAX_CHANGES}"
+        raise FindingsRequestError((_finding("changes", message),))
+    change_id = value.get("change_id", "")
+    if not isinstance(change_id, str) or len(change_id) > CHANGE_ID_CHARACTERS:
+        message = f"expected a string of at most {CHANGE_ID_CHARACTERS} characters"
+        raise FindingsRequestError((_finding("change_id", message),))
+    read = [_read_change(item, f"changes.{index}") for index, item in enumerate(listed)]
+    findings = tuple(finding for _, more in read for finding in more)
+    if findings:
+        raise FindingsRequestError(findings)
+    return AppliedChanges(change_id, tuple(change for change, _ in read if change is not None))
+
+
+def read_restore(body: bytes) -> SettleRestore:
+    """Read the body of ``POST /v1/restore``."""
+    value = read_json(body)
+    choices = tuple(choice.value for choice in RestoreChoice)
+    given = value.get("choice") if isinstance(value, dict) else None
+    if given not in choices:
+        message = f"got {given!r}, expected one of {', '.join(choices)}"
+        raise FindingsRequestError((_finding("choice", message),))
+    return SettleRestore(RestoreChoice(given))
+
+
+def _read_change(value: object, path: str) -> tuple[Change | None, tuple[Finding, ...]]:
+    if not isinstance(value, dict) or ("put" in value) == ("delete" in value):
+        return None, (_finding(path, "expected an object with either 'put' or 'delete'"),)
+    expected = value.get("expected_revision")
+    if expected is not None and (not isinstance(expected, int) or expected < 0):
+        message = f"got {expected!r}, expected a whole number from 0"
+        return None, (_finding(f"{path}.expected_revision", message),)
+    word = "put" if "put" in value else "delete"
+    given = value[word]
+    key = _read_key(given)
+    if key is None:
+        return None, (_finding(f"{path}.{word}", "expected an object with 'kind' and 'name'"),)
+    if word == "delete":
+        return DeleteResource(key, expected), ()
+    resource, findings = resource_from_json(key.kind, key.name, given)
+    return (None if resource is None else PutResource(resource, expected)), findings
+
+
+def _read_key(value: object) -> ResourceKey | None:
+    if not isinstance(value, dict) or not isinstance(value.get("name"), str):
+        return None
+    try:
+        return ResourceKey(Kind(value.get("kind")), value["name"])
+    except ValueError:
+        return None
+
+
+def _finding(path: str, message: str) -> Finding:
+    return Finding(Place("", 0, path), message)
