Run non-idempotent requests at most once, by claims in bucket values

Cause: a resend, a race of two instances or a crash must not run an order twice. Change: charts order and claim_bucket; claims are written by compare-and-swap before a send, batched per bucket, through the bucket's owner, else by the instance itself, else through any peer; outcomes are recorded the same way and returned to resends. KEY_EXPIRED is a new refusal reason.

--- a/savoryarch/codec/_answers.py
+++ b/savoryarch/codec/_answers.py
@@ -27,6 +27,7 @@
     RefusalReason.NO_CONFIGURATION: 503,
     RefusalReason.KEY_MISSING: 400,
     RefusalReason.KEY_REUSED: 409,
+    RefusalReason.KEY_EXPIRED: 409,
     RefusalReason.STORE_UNAVAILABLE: 503,
     RefusalReason.NO_TARGET: 503,
 }
--- a/savoryarch/model/_orders.py
+++ b/savoryarch/model/_orders.py
@@ -26,6 +26,9 @@
         The caller's own deadline on the clock of the process, if earlier than the declared one.
     priority : Priority or None
         Overrides the declared priority class.
+    created_at_ms : int or None
+        Calendar time at which the caller made the request, in milliseconds since the Unix epoch;
+        resends carry the time of the first send.
     """
 
     request_id: str
@@ -35,6 +38,7 @@
     body: bytes
     deadline_at_ms: float | None = None
     priority: Priority | None = None
+    created_at_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,11 +53,14 @@
         Body of the target.
     recorded : bool
         Whether this is the recorded outcome of an earlier send of the same key.
+    body_kept : bool
+        False for a recorded outcome whose body was too large to be kept; `body` is then empty.
     """
 
     status: int
     body: bytes
     recorded: bool = False
+    body_kept: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/model/_search.py
+++ b/savoryarch/model/_search.py
@@ -52,6 +52,7 @@
     NO_CONFIGURATION = "no_configuration"
     KEY_MISSING = "key_missing"
     KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
     STORE_UNAVAILABLE = "store_unavailable"
     NO_TARGET = "no_target"
 
--- /dev/null
+++ b/savoryarch/orders/_bucket.py
@@ -0,0 +1,322 @@
+"""Reads and writes buckets: one swap outstanding per bucket, the rest rides on the next."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from types import MappingProxyType
+
+from immutables import Map
+
+from savoryarch.charts import load_chart
+from savoryarch.exceptions import CodecError
+from savoryarch.model import (
+    Claim,
+    Claimant,
+    ClaimFailed,
+    ClaimHeld,
+    KeyAbsent,
+    KeyRead,
+    LogEvent,
+    ReadKey,
+    SetTimer,
+    StoreLimited,
+    StoreReply,
+    StoreUnreachable,
+    SwapConflict,
+    SwapKey,
+    Swapped,
+    TellRecorded,
+)
+from savoryarch.orders._claims import (
+    BucketValue,
+    Submitted,
+    bucket_of,
+    compose,
+    is_settled,
+    resolve,
+)
+from savoryarch.orders._ownership import owned_buckets
+from savoryarch.orders._state import Bucket, Settled, Turn
+from savoryarch.orders._values import decode_bucket, encode_bucket
+
+_MS_PER_S = 1000.0
+_BURST_S = 0.1  # writes that may be made at once, as time at the write rate
+
+Action = Callable[[Turn, Bucket, object], Turn]
+
+
+def bucket_key(number: int) -> str:
+    """Return the key of a bucket in the store."""
+    return f"orders/buckets/{number}"
+
+
+def submit_claim(turn: Turn, submitted: Submitted) -> Turn:
+    """Submit a claim to its bucket; it is resolved now or after a call on the store."""
+    bucket = _bucket_for(turn, submitted.claim)
+    if _is_refusing(turn, bucket):
+        return turn.report(submitted, ClaimFailed("the store is unreachable", False))
+    claimant = submitted.claim.claimant
+    if claimant not in bucket.submitted:
+        submitted = replace(submitted, after_call=turn.state.calls)
+        bucket = replace(bucket, submitted=bucket.submitted.set(claimant, submitted))
+    return step_bucket(turn, bucket, "work_added")
+
+
+def withdraw_claim(turn: Turn, claim: Claim) -> tuple[Turn, Submitted | None]:
+    """Take a claim back; returns what is known of it, None if it is not waiting here."""
+    bucket = _bucket_for(turn, claim)
+    submitted = bucket.submitted.get(claim.claimant)
+    if submitted is None:
+        return turn, None
+    bucket = replace(bucket, submitted=bucket.submitted.delete(claim.claimant))
+    return turn.put_bucket(bucket), submitted
+
+
+def settle_claim(turn: Turn, settled: Settled) -> Turn:
+    """Record an outcome in its bucket, together with the next claims or after a delay."""
+    bucket = _bucket_for(turn, settled.claim)
+    due_at_ms = turn.now_ms
+    if not any(item.held for item in bucket.submitted.values()):
+        due_at_ms += turn.state.settings.outcome_delay_ms
+    settle_at_ms = min(bucket.settle_at_ms, due_at_ms) if bucket.settled else due_at_ms
+    outcomes = bucket.settled.set(settled.claim.claimant, settled)
+    bucket = replace(bucket, settled=outcomes, settle_at_ms=settle_at_ms)
+    return step_bucket(turn, bucket, "work_added")
+
+
+def drop_submitted_by(turn: Turn, peer_id: str) -> Turn:
+    """Forget the claims of a peer that is gone; its next incarnation asks anew."""
+    for bucket in turn.state.buckets.values():
+        gone = [item for item in bucket.submitted.values() if item.from_peer == peer_id]
+        submitted = bucket.submitted
+        for item in gone:
+            submitted = submitted.delete(item.claim.claimant)
+        if gone:
+            turn = turn.put_bucket(replace(bucket, submitted=submitted))
+    return turn
+
+
+def decide_reply(turn: Turn, call_id: str, reply: StoreReply) -> Turn:
+    """Decide on the reply to a bucket's call (``orders/BUCKET/CALL``)."""
+    number = int(call_id.split("/")[1])
+    bucket = turn.state.buckets.get(number)
+    if bucket is None or bucket.call_id != call_id:
+        return turn
+    match reply:
+        case KeyRead(value=data, revision=revision):
+            return _decode_value(turn, bucket, data, revision)
+        case KeyAbsent():
+            return _take_value(turn, bucket, BucketValue(), 0)
+        case Swapped(revision=revision):
+            return step_bucket(turn, replace(bucket, revision=revision), "swapped")
+        case SwapConflict():
+            return step_bucket(turn, bucket, "conflict")
+        case StoreLimited():
+            return step_bucket(turn, bucket, "limited", "the store's rate limit")
+        case StoreUnreachable(detail=detail):
+            return step_bucket(turn, bucket, "failed", detail)
+        case _:
+            return step_bucket(turn, bucket, "failed", f"unexpected {type(reply).__name__}")
+
+
+def decide_timer(turn: Turn, number: int) -> Turn:
+    """Decide on the timer of a bucket: look again, try again or write what waited."""
+    bucket = turn.state.buckets[number]
+    if _CHART.accepts(bucket.state, "retry_due"):
+        has_work = bool(bucket.submitted or bucket.settled)
+        return step_bucket(turn, bucket, "retry_due" if has_work else "nothing_due")
+    if not _CHART.accepts(bucket.state, "stale"):
+        return turn
+    held = any(item.held for item in bucket.submitted.values())
+    return step_bucket(turn, bucket, "stale") if held else _follow_up(turn, bucket)
+
+
+def take_turns(turn: Turn) -> Turn:
+    """Write the buckets whose turn it is within the write rate."""
+    turn = _refill_tokens(turn)
+    while turn.state.queue and turn.state.write_tokens >= 1.0:
+        number, *rest = turn.state.queue
+        turn = turn.change(queue=tuple(rest))
+        turn = step_bucket(turn, turn.state.buckets[number], "turn")
+    if not turn.state.queue:
+        return turn
+    missing = 1.0 - turn.state.write_tokens
+    due_at_ms = turn.now_ms + missing * _MS_PER_S / _writes_per_s(turn)
+    return turn.emit(SetTimer("orders/turn", due_at_ms))
+
+
+def step_bucket(turn: Turn, bucket: Bucket, event: str, cause: object = None) -> Turn:
+    """Take a bucket through one transition of its chart."""
+    transition = _CHART.step(bucket.state, event)
+    turn = turn.put_bucket(replace(bucket, state=transition.next_state))
+    for action in transition.actions:
+        turn = _ACTIONS[action](turn, turn.state.buckets[bucket.number], cause)
+    return turn
+
+
+def _bucket_for(turn: Turn, claim: Claim) -> Bucket:
+    number = bucket_of(claim.digest, turn.state.settings.buckets)
+    return turn.state.buckets.get(number) or Bucket(number, _CHART.initial)
+
+
+def _is_refusing(turn: Turn, bucket: Bucket) -> bool:
+    # One call at a time finds out whether the store is back; other claims do not wait for it.
+    limit = turn.state.settings.failures_before_refusal
+    return bucket.failures >= limit and bucket.state != _CHART.initial
+
+
+def _read(turn: Turn, bucket: Bucket, cause: object) -> Turn:
+    turn, call_id = _next_call(turn, bucket)
+    turn = turn.put_bucket(replace(bucket, call_id=call_id, swapping=None))
+    return turn.emit(ReadKey(call_id, bucket_key(bucket.number)))
+
+
+def _decode_value(turn: Turn, bucket: Bucket, data: bytes, revision: int) -> Turn:
+    try:
+        value = decode_bucket(data)
+    except CodecError as error:
+        return step_bucket(turn, bucket, "failed", str(error))
+    return _take_value(turn, bucket, value, revision)
+
+
+def _take_value(turn: Turn, bucket: Bucket, value: BucketValue, revision: int) -> Turn:
+    bucket = replace(
+        bucket,
+        value=value,
+        revision=revision,
+        value_call=_call_number(bucket.call_id),
+        failures=0,
+    )
+    return step_bucket(turn, bucket, "value_read")
+
+
+def _resolve(turn: Turn, bucket: Bucket, cause: object) -> Turn:
+    """Tell the claims that came to something, and see what is left to write."""
+    settings = turn.state.settings
+    submitted = bucket.submitted
+    for item in submitted.values():
+        found = resolve(bucket.value, item, settings)
+        match found:
+            case None:
+                fresh = bucket.value_call > item.after_call
+                left = replace(item, held=False, key_unused=item.key_unused or fresh)
+                submitted = submitted.set(item.claim.claimant, left)
+            case ClaimHeld():
+                if not item.held:
+                    turn = turn.report(item, found)
+                submitted = submitted.set(item.claim.claimant, replace(item, held=True))
+            case _:
+                submitted = submitted.delete(item.claim.claimant)
+                turn = turn.report(item, found)
+    bucket = replace(bucket, submitted=submitted)
+    turn, bucket = _forget_recorded(turn, bucket)
+    return _follow_up(turn.put_bucket(bucket), bucket)
+
+
+def _forget_recorded(turn: Turn, bucket: Bucket) -> tuple[Turn, Bucket]:
+    settled = bucket.settled
+    for claimant, item in settled.items():
+        if is_settled(bucket.value, item.claim):
+            settled = settled.delete(claimant)
+            if item.from_peer:
+                turn = turn.post(item.from_peer, TellRecorded(claimant))
+    return turn, replace(bucket, settled=settled)
+
+
+def _follow_up(turn: Turn, bucket: Bucket) -> Turn:
+    """Join the queue for a write if there is something to write now, else set a timer."""
+    held = [item.held for item in bucket.submitted.values()]
+    settled_due = bool(bucket.settled) and bucket.settle_at_ms <= turn.now_ms
+    if settled_due or not all(held):
+        return step_bucket(turn, bucket, "write_due")
+    due_at_ms = [turn.now_ms + turn.state.settings.held_poll_ms] if held else []
+    due_at_ms += [bucket.settle_at_ms] if bucket.settled else []
+    if not due_at_ms:
+        return turn
+    return turn.emit(SetTimer(f"orders/bucket/{bucket.number}", min(due_at_ms)))
+
+
+def _join_queue(turn: Turn, bucket: Bucket, cause: object) -> Turn:
+    return turn.change(queue=(*turn.state.queue, bucket.number))
+
+
+def _swap(turn: Turn, bucket: Bucket, cause: object) -> Turn:
+    settings = turn.state.settings
+    settled = [item.claim for _, item in sorted(bucket.settled.items())]
+    waiting = [item for item in bucket.submitted.values() if not item.held]
+    value = compose(bucket.value, settled, waiting, settings, turn.wall_ms)
+    submitted = bucket.submitted
+    for item in waiting:
+        carried = item.carried or value.claims.get(item.claim.digest) == item.claim
+        item = replace(item, composed=True, carried=carried)
+        submitted = submitted.set(item.claim.claimant, item)
+    bucket = replace(bucket, submitted=submitted)
+    if value is bucket.value:
+        return step_bucket(turn, bucket, "nothing_due")
+    turn, call_id = _next_call(turn, bucket)
+    turn = turn.change(write_tokens=turn.state.write_tokens - 1.0)
+    bucket = replace(bucket, call_id=call_id, swapping=value)
+    data = encode_bucket(value)
+    return turn.put_bucket(bucket).emit(
+        SwapKey(call_id, bucket_key(bucket.number), data, bucket.revision)
+    )
+
+
+def _adopt(turn: Turn, bucket: Bucket, cause: object) -> Turn:
+    value = bucket.swapping or bucket.value
+    number = _call_number(bucket.call_id)
+    bucket = replace(bucket, value=value, swapping=None, value_call=number, failures=0)
+    return turn.put_bucket(bucket)
+
+
+def _back_off(turn: Turn, bucket: Bucket, cause: object) -> Turn:
+    """Pause before the next call; after several failures the waiting claims are refused."""
+    settings = turn.state.settings
+    pause_ms = min(settings.back_off_limit_ms, settings.back_off_ms * 2**bucket.failures)
+    bucket = replace(bucket, failures=bucket.failures + 1, swapping=None)
+    turn = turn.emit(
+        SetTimer(f"orders/bucket/{bucket.number}", turn.now_ms + pause_ms),
+        LogEvent(
+            "claim_bucket_failed", (("bucket", str(bucket.number)), ("detail", str(cause)[:200]))
+        ),
+    )
+    if bucket.failures < settings.failures_before_refusal:
+        return turn.put_bucket(bucket)
+    for item in bucket.submitted.values():
+        turn = turn.report(item, ClaimFailed(str(cause)[:200], item.key_unused))
+    return turn.put_bucket(replace(bucket, submitted=_NO_CLAIMS))
+
+
+def _next_call(turn: Turn, bucket: Bucket) -> tuple[Turn, str]:
+    calls = turn.state.calls + 1
+    return turn.change(calls=calls), f"orders/{bucket.number}/{calls}"
+
+
+def _call_number(call_id: str) -> int:
+    return int(call_id.rsplit("/", 1)[1])
+
+
+def _refill_tokens(turn: Turn) -> Turn:
+    rate_per_s = _writes_per_s(turn)
+    limit = max(1.0, rate_per_s * _BURST_S)
+    elapsed_s = (turn.now_ms - turn.state.refilled_at_ms) / _MS_PER_S
+    tokens = min(limit, turn.state.write_tokens + rate_per_s * elapsed_s)
+    return turn.change(write_tokens=tokens, refilled_at_ms=turn.now_ms)
+
+
+def _writes_per_s(turn: Turn) -> float:
+    settings = turn.state.settings
+    return settings.writes_per_s * max(1, owned_buckets(turn.state)) / settings.buckets
+
+
+_NO_CLAIMS: "Map[Claimant, Submitted]" = Map()
+_ACTIONS: Mapping[str, Action] = MappingProxyType(
+    {
+        "adopt": _adopt,
+        "back_off": _back_off,
+        "join_queue": _join_queue,
+        "read": _read,
+        "resolve": _resolve,
+        "swap": _swap,
+    }
+)
+_CHART = load_chart("claim_bucket", frozenset(_ACTIONS))
--- /dev/null
+++ b/savoryarch/orders/_values.py
@@ -0,0 +1,98 @@
+"""Encoding of bucket values."""
+
+import msgspec
+
+from savoryarch.exceptions import CodecError
+from savoryarch.model import (
+    Claim,
+    Claimant,
+    ClaimDone,
+    ClaimNotRun,
+    ClaimOpen,
+    ClaimState,
+    ClaimUnknown,
+)
+from savoryarch.orders._claims import BucketValue, make_value
+
+_VERSION = 1
+_OPEN, _DONE, _DONE_WITHOUT_BODY, _NOT_RUN, _UNKNOWN = range(5)
+
+# digest, fingerprint, claimed at, instance, incarnation, sequence, tag, status, body
+_Row = tuple[bytes, bytes, int, str, int, int, int, int, bytes]
+_DECODER = msgspec.msgpack.Decoder(tuple[int, int, list[_Row]])
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_bucket(value: BucketValue) -> bytes:
+    """Encode a bucket; the same claims give the same bytes."""
+    claims = sorted(value.claims.values(), key=lambda claim: (claim.claimed_at_ms, claim.digest))
+    rows = [_encode_row(claim) for claim in claims]
+    return _ENCODER.encode((_VERSION, value.forgotten_through_ms, rows))
+
+
+def decode_bucket(data: bytes) -> BucketValue:
+    """Decode a bucket.
+
+    Raises
+    ------
+    CodecError
+        If the bytes are not a bucket of this version.
+    """
+    try:
+        version, forgotten_through_ms, rows = _DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise CodecError(f"bucket value is malformed: {error}") from error
+    if version != _VERSION:
+        raise CodecError(f"bucket value has version {version}, expected {_VERSION}")
+    return make_value(map(_decode_row, rows), forgotten_through_ms)
+
+
+def _encode_row(claim: Claim) -> _Row:
+    who = claim.claimant
+    tag, status, body = _encode_state(claim.state)
+    return (
+        claim.digest,
+        claim.fingerprint,
+        claim.claimed_at_ms,
+        who.instance_id,
+        who.incarnation,
+        who.sequence,
+        tag,
+        status,
+        body,
+    )
+
+
+def _encode_state(state: ClaimState) -> tuple[int, int, bytes]:
+    match state:
+        case ClaimOpen():
+            return _OPEN, 0, b""
+        case ClaimDone(status=status, body=body, body_kept=body_kept):
+            return (_DONE if body_kept else _DONE_WITHOUT_BODY), status, body
+        case ClaimNotRun():
+            return _NOT_RUN, 0, b""
+        case ClaimUnknown(detail=detail):
+            return _UNKNOWN, 0, detail.encode()
+
+
+def _decode_row(row: _Row) -> Claim:
+    digest, fingerprint, claimed_at_ms, instance_id, incarnation, sequence, tag, status, body = row
+    claimant = Claimant(instance_id, incarnation, sequence)
+    state = _decode_state(tag, status, body)
+    return Claim(digest, fingerprint, claimant, claimed_at_ms, state)
+
+
+def _decode_state(tag: int, status: int, body: bytes) -> ClaimState:
+    match tag:
+        case 0:
+            return ClaimOpen()
+        case 1:
+            return ClaimDone(status, body)
+        case 2:
+            return ClaimDone(status, b"", body_kept=False)
+        case 3:
+            return ClaimNotRun()
+        case 4:
+            return ClaimUnknown(body.decode())
+        case _:
+            raise CodecError(f"bucket value has an unknown claim state {tag}")
