--- a/savoryarch/orders/tests/world.py
+++ b/savoryarch/orders/tests/world.py
@@ -93,6 +93,7 @@
         self.nodes = {}
         self.cut = set()
         self.runs = Counter()
+        self.runs_by = Counter()
         self.outcomes = {}
         self.answered_at_ms = {}
         self.effects = []
@@ -225,6 +226,7 @@
             reply = self.target_reply(run)
             if ran(reply):
                 self.runs[attempt.request.route, attempt.request.idempotency_key] += 1
+                self.runs_by[attempt.attempt_id.split("/")[1]] += 1
             ended = AttemptEnded(attempt.attempt_id, attempt.target_id, reply)
             self.at(self.latencies.target_ms(), lambda: self._feed(instance, node, ended))
 
