Run an entry instance: callers, targets, peers, store and instance list on one loop

Cause: the decisions need the process that feeds them. Change: EntryInstance feeds events to decide_tier and performs every effect; the callers' site bounds bodies, heads and sending time; signals ask for the graceful shutdown.

--- a/savoryarch/entry/__init__.py
+++ b/savoryarch/entry/__init__.py
@@ -1,1 +1,8 @@
-"""The entry process: performs effects and feeds events."""
+"""The entry process: feeds events to the decisions and carries out their effects."""
+
+from savoryarch.entry._instance import EntryInstance
+from savoryarch.entry._metrics import Metrics
+from savoryarch.entry._run import run_entry
+from savoryarch.entry._target_client import TargetClient
+
+__all__ = ["EntryInstance", "Metrics", "TargetClient", "run_entry"]
--- a/savoryarch/entry/_caller_front.py
+++ b/savoryarch/entry/_caller_front.py
@@ -25,7 +25,7 @@
     RouteAsked,
     SearchAsked,
 )
-from savoryarch.orders import KeyFound, KeyNotFound, extract_key
+from savoryarch.orders import KeyFound, KeyNotFound, created_at_ms, extract_key
 from savoryarch.utils import Clock
 
 MAX_KEY_CHARACTERS = 256
@@ -116,7 +116,8 @@
 def _ask_route(bridge: CallerBridge, request: Request, name: str) -> Deferred:
     body = _read_body(request)
     request_id = bridge.next_request_id()
-    key = _read_key(bridge.declarations(), name, request, body)
+    headers = _read_headers(request)
+    key = _read_key(bridge.declarations(), name, headers, body)
     if isinstance(key, KeyNotFound):
         bridge.count_refusal(RefusalReason.KEY_MISSING.value)
         refused = Refused(RefusalReason.KEY_MISSING, key.detail, not_run=True)
@@ -129,6 +130,7 @@
         body=body,
         deadline_at_ms=_read_deadline(request, bridge.clock),
         priority=_read_priority(request),
+        created_at_ms=created_at_ms(key.key, headers),
     )
     return _submit(bridge, request, asked).addCallback(
         lambda outcome: encode_route_outcome(request_id, outcome)
@@ -142,15 +144,11 @@
 
 
 def _read_key(
-    declarations: Declarations, name: str, request: Request, body: bytes
+    declarations: Declarations, name: str, headers: dict[str, str], body: bytes
 ) -> KeyFound | KeyNotFound:
     route = declarations.routes.get(name)
     if route is None:
         return KeyFound("")
-    headers = {
-        key.decode("latin-1").lower(): values[0].decode("latin-1")
-        for key, values in request.requestHeaders.getAllRawHeaders()
-    }
     found = extract_key(route.key, headers, body)
     match found:
         case KeyFound(key=key) if len(key) > MAX_KEY_CHARACTERS:
@@ -161,6 +159,13 @@
             return found
 
 
+def _read_headers(request: Request) -> dict[str, str]:
+    return {
+        name.decode("latin-1").lower(): values[0].decode("latin-1")
+        for name, values in request.requestHeaders.getAllRawHeaders()
+    }
+
+
 def _read_body(request: Request) -> bytes:
     body = request.content.read() if request.content else b""
     try:
--- a/savoryarch/entry/_caller_site.py
+++ b/savoryarch/entry/_caller_site.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from twisted.web.http import HTTPChannel
-from twisted.web.resource import IResource
 from twisted.web.server import Request, Site
 
 from savoryarch.codec import EncodedReply, encode_error
@@ -104,7 +103,7 @@
 
     Parameters
     ----------
-    resource : IResource
+    resource : object
         What handles requests.
     reactor : object
         Twisted's reactor.
@@ -112,9 +111,7 @@
         Called with the reason of each refused request.
     """
 
-    def __init__(
-        self, resource: IResource, reactor: Any, count_refusal: Callable[[str], None]
-    ) -> None:
+    def __init__(self, resource: Any, reactor: Any, count_refusal: Callable[[str], None]) -> None:
         super().__init__(
             resource, requestFactory=CallerRequest, timeout=IDLE_TIMEOUT_S, reactor=reactor
         )
--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -6,6 +6,8 @@
 
 from savoryarch.configuration import ConfigurationSettings
 from savoryarch.exceptions import FindingsError
+from savoryarch.membership import MembershipSettings
+from savoryarch.orders import OrdersSettings
 from savoryarch.search import SearchSettings
 from savoryarch.settings._sections import (
     CallersSettings,
@@ -15,6 +17,7 @@
     PeersSettings,
     PlatformSettings,
 )
+from savoryarch.shutdown import ShutdownSettings
 from savoryarch.targets import TargetsSettings
 from savoryarch.utils import (
     Finding,
@@ -42,7 +45,10 @@
     log: LogSettings
     targets: TargetsSettings
     search: SearchSettings
+    orders: OrdersSettings
     configuration: ConfigurationSettings
+    membership: MembershipSettings
+    shutdown: ShutdownSettings
 
 
 SECTIONS: dict[str, type] = {name: kind for name, kind in get_type_hints(Settings).items()}
--- a/savoryarch/tier/_decide.py
+++ b/savoryarch/tier/_decide.py
@@ -4,18 +4,29 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from savoryarch.configuration import decide_configuration
+from savoryarch.membership import decide_membership
 from savoryarch.model import (
     AttemptEnded,
+    ChangeAsked,
+    ClearNotice,
     Decided,
     DeclarationsInForce,
     Inform,
+    RaiseNotice,
+    RouteAsked,
     SearchAsked,
+    StatusAsked,
     StoreReplied,
     TargetSigned,
     TimerFired,
     UnfinishedChanged,
 )
-from savoryarch.search import decide_search, unfinished_requests
+from savoryarch.notices import decide_notices
+from savoryarch.orders import decide_orders
+from savoryarch.orders import unfinished_requests as unfinished_orders
+from savoryarch.search import decide_search
+from savoryarch.search import unfinished_requests as unfinished_searches
 from savoryarch.shutdown import decide_shutdown
 from savoryarch.targets import decide_targets
 from savoryarch.tier._state import TierState
@@ -51,10 +62,13 @@
             decided = subject(state, current, now_ms)
             state = decided.state
             for effect in decided.effects:
-                if isinstance(effect, Inform):
-                    pending.append(effect.event)
-                else:
-                    effects.append(effect)
+                match effect:
+                    case Inform(event=informed):
+                        pending.append(informed)
+                    case RaiseNotice() | ClearNotice():
+                        pending.append(effect)
+                    case _:
+                        effects.append(effect)
         if not pending and (changed := _unfinished_change(state)) is not None:
             state = replace(state, unfinished_ids=changed.request_ids)
             pending.append(changed)
@@ -72,8 +86,14 @@
             return (owner,) if owner else ()
         case SearchAsked():
             return (_search,)
+        case RouteAsked():
+            return (_orders,)
+        case ChangeAsked() | StatusAsked():
+            return (_configuration,)
+        case RaiseNotice() | ClearNotice():
+            return (_notices,)
         case TargetSigned():
-            return (_targets, _search)
+            return (_targets, _search, _orders)
         case UnfinishedChanged():
             return (_shutdown,)
         case _:
@@ -84,7 +104,7 @@
     # Only the shutdown asks, so that requests do not pay for it in ordinary times.
     if state.shutdown.chart_state == _RUNNING:
         return None
-    unfinished = unfinished_requests(state.search)
+    unfinished = unfinished_searches(state.search) + unfinished_orders(state.orders)
     return None if unfinished == state.unfinished_ids else UnfinishedChanged(unfinished)
 
 
@@ -99,6 +119,27 @@
     return Decided(changed, decided.effects)
 
 
+def _orders(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    decided = decide_orders(state.orders, state.targets, event, now_ms)
+    changed = replace(state, orders=decided.state, targets=decided.targets)
+    return Decided(changed, decided.effects)
+
+
+def _configuration(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    decided = decide_configuration(state.configuration, event, now_ms)
+    return Decided(replace(state, configuration=decided.state), decided.effects)
+
+
+def _membership(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    decided = decide_membership(state.membership, event, now_ms)
+    return Decided(replace(state, membership=decided.state), decided.effects)
+
+
+def _notices(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    decided = decide_notices(state.notices, event, now_ms)
+    return Decided(replace(state, notices=decided.state), decided.effects)
+
+
 def _shutdown(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
     decided = decide_shutdown(state.shutdown, event, now_ms)
     return Decided(replace(state, shutdown=decided.state), decided.effects)
@@ -109,6 +150,9 @@
 _SUBJECTS: dict[str, Subject] = {
     "targets": _targets,
     "search": _search,
+    "orders": _orders,
+    "configuration": _configuration,
+    "membership": _membership,
     "shutdown": _shutdown,
 }
 _ALL = tuple(_SUBJECTS.values())
--- a/savoryarch/tier/_state.py
+++ b/savoryarch/tier/_state.py
@@ -1,7 +1,16 @@
 """The state of one entry instance: one frozen record per subject."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from savoryarch.configuration import (
+    ConfigurationSettings,
+    ConfigurationState,
+    make_configuration_state,
+)
+from savoryarch.membership import MembershipSettings, MembershipState, make_membership_state
+from savoryarch.model import RecordCodec
+from savoryarch.notices import NoticesState
+from savoryarch.orders import OrdersSettings, OrdersState, make_orders_state
 from savoryarch.search import SearchSettings, SearchState, make_search_state
 from savoryarch.shutdown import ShutdownSettings, ShutdownState, make_shutdown_state
 from savoryarch.targets import TargetsSettings, TargetsState, make_targets_state
@@ -17,14 +26,23 @@
         Of this instance.
     incarnation : int
         Start time in ms since the Unix epoch.
+    targets : TargetsSettings
+        Each further field belongs to the subject of its name.
+    peer_host, peer_port : str, int
+        Where peers reach this instance.
     """
 
     instance_id: str
     availability_zone: str
     incarnation: int
     targets: TargetsSettings
-    search: SearchSettings
-    shutdown: ShutdownSettings
+    search: SearchSettings = field(default_factory=SearchSettings)
+    orders: OrdersSettings = field(default_factory=OrdersSettings)
+    configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
+    membership: MembershipSettings = field(default_factory=MembershipSettings)
+    shutdown: ShutdownSettings = field(default_factory=ShutdownSettings)
+    peer_host: str = "127.0.0.1"
+    peer_port: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +51,10 @@
 
     Parameters
     ----------
+    settings : TierSettings
+        Fixed from start to end.
+    targets : TargetsState
+        Each further field belongs to the subject of its name.
     unfinished_ids : tuple of str
         The unfinished requests that the shutdown was told of last.
     """
@@ -40,15 +62,34 @@
     settings: TierSettings
     targets: TargetsState
     search: SearchState
+    orders: OrdersState
+    configuration: ConfigurationState
+    membership: MembershipState
     shutdown: ShutdownState
+    notices: NoticesState = field(default_factory=NoticesState)
     unfinished_ids: tuple[str, ...] = ()
 
 
-def make_tier_state(settings: TierSettings) -> TierState:
-    """Make the state of an instance that has not started yet."""
+def make_tier_state(settings: TierSettings, record_codec: RecordCodec) -> TierState:
+    """Make the state of an instance that has not started yet.
+
+    Parameters
+    ----------
+    settings : TierSettings
+        The settings.
+    record_codec : RecordCodec
+        How records of the configuration become bytes.
+    """
     return TierState(
         settings=settings,
         targets=make_targets_state(settings.targets),
         search=make_search_state(settings.search),
+        orders=make_orders_state(settings.orders, settings.instance_id, settings.incarnation),
+        configuration=make_configuration_state(
+            record_codec, settings.configuration, seed=settings.incarnation
+        ),
+        membership=make_membership_state(
+            settings.membership, settings.peer_host, settings.peer_port
+        ),
         shutdown=make_shutdown_state(settings.shutdown),
     )
