Add the command line

Cause: operators and scripts drive the tier by one program. Change: fire commands for serving, checking, applying, reading, watching, searches and orders. Arguments stay text, options that do not exist are refused before a command runs, and an unknown outcome is settled by sending the same change again.

--- /dev/null
+++ b/savoryarch/cli/_client.py
@@ -0,0 +1,61 @@
+"""Sends the requests of the command line by treq, one after the other."""
+
+import os
+import sys
+from collections.abc import Generator
+from typing import Any
+
+from msgspec import DecodeError, json
+from treq import content, request
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.error import ConnectError
+from twisted.internet.task import react
+
+from savoryarch.cli._http import HttpCall, HttpFailed, HttpOutcome, HttpReplied, Steps
+
+TOKEN_VARIABLE = "SAVORYARCH_TOKEN"
+
+
+def perform_steps(steps: Steps) -> int:
+    """Send the requests that `steps` yields and return the exit code that it returns."""
+    codes: list[int] = []
+
+    @inlineCallbacks
+    def run(reactor: object) -> Generator[Any, Any, None]:
+        outcome: Any = None
+        while True:
+            try:
+                call = steps.send(outcome)
+            except StopIteration as ended:
+                codes.append(ended.value)
+                return
+            outcome = yield _send(call)
+
+    try:
+        react(run)
+    except SystemExit as error:
+        if not codes:
+            print(f"savoryarch: {error}", file=sys.stderr)
+    return codes[0] if codes else 1
+
+
+@inlineCallbacks
+def _send(call: HttpCall) -> Generator[Any, Any, HttpOutcome]:
+    headers: dict[Any, Any] = dict(call.headers)
+    token = os.environ.get(TOKEN_VARIABLE)
+    if token:
+        headers["authorization"] = f"Bearer {token}"
+    try:
+        reply = yield request(
+            call.method, call.url, data=call.body, headers=headers, timeout=call.timeout_s
+        )
+        text = yield content(reply)
+    except ConnectError as error:
+        return HttpFailed(f"cannot connect to {call.url}: {error}", sent=False)
+    except Exception as error:  # noqa: BLE001
+        detail = str(error) or type(error).__name__
+        return HttpFailed(f"no reply from {call.url}: {detail}", sent=True)
+    try:
+        return HttpReplied(reply.code, json.decode(text))
+    except (DecodeError, UnicodeDecodeError):
+        return HttpReplied(reply.code, text.decode("utf-8", "replace"))
--- /dev/null
+++ b/savoryarch/cli/_commands.py
@@ -0,0 +1,310 @@
+"""The commands; every argument arrives as text."""
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from importlib import import_module
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+from uuid import uuid4
+
+from fire.decorators import SetParseFn
+
+from savoryarch import __version__
+from savoryarch.cli._exit import ExitCode
+from savoryarch.cli._files import check_files
+from savoryarch.cli._http import HttpCall, Perform
+from savoryarch.cli._operate import (
+    apply_steps,
+    change_steps,
+    read_steps,
+    show_ini,
+    show_json,
+    submit_steps,
+    watch_steps,
+)
+from savoryarch.exceptions import FindingsError
+from savoryarch.model import Kind, RestoreChoice
+from savoryarch.settings import load_settings
+from savoryarch.utils import format_findings, suggest
+
+OPERATORS_URL = "http://127.0.0.1:8081"
+CALLERS_URL = "http://127.0.0.1:8080"
+_TRUE_WORDS = frozenset({"true", "yes", "1"})
+_FILE_PREFIX = "@"
+_STANDARD_INPUT = "@-"
+
+as_text: Callable[[Callable[..., Any]], Callable[..., Any]] = SetParseFn(str)
+
+
+def _perform(steps: Any) -> int:
+    # Twisted's HTTP client takes half a second to import, which commands on files do not need.
+    return import_module("savoryarch.cli._client").perform_steps(steps)
+
+
+@dataclass(frozen=True, slots=True)
+class Console:
+    """How commands reach the world; tests replace it."""
+
+    perform: Perform = _perform
+    write: Callable[[str], None] = print
+    complain: Callable[[str], None] = lambda text: print(text, file=sys.stderr)
+
+
+class Commands:
+    """The commands of the program, as fire sees them."""
+
+    def __init__(self, console: Console | None = None) -> None:
+        self._console = console or Console()
+
+    @as_text
+    def serve(self, settings: str) -> int:
+        """Run one entry instance until it is stopped.
+
+        Parameters
+        ----------
+        settings
+            The settings file, INI.
+        """
+        try:
+            loaded = load_settings(settings)
+        except FindingsError as error:
+            self._console.complain(str(error))
+            return ExitCode.REFUSED
+        return import_module("savoryarch.entry").run_entry(loaded)
+
+    @as_text
+    def check(self, *files: str) -> int:
+        """Check settings and resource files, which are taken together.
+
+        Writes every finding with file, line and dotted path; exits with 1 if there is one.
+        """
+        if not files:
+            return self._usage("check needs at least one file")
+        checked = check_files(files)
+        if checked.findings:
+            self._console.complain(format_findings(checked.findings))
+            self._console.complain(f"{len(checked.findings)} findings")
+            return ExitCode.REFUSED
+        self._console.write(
+            f"{len(files)} files, {checked.settings_count} with settings, "
+            f"{len(checked.resources)} resources: no findings"
+        )
+        return ExitCode.OK
+
+    @as_text
+    def apply(
+        self,
+        *files: str,
+        operators: str = OPERATORS_URL,
+        prune: str = "no",
+        change_id: str = "",
+    ) -> int:
+        """Bring the resources of some files into force, all together or not at all.
+
+        Parameters
+        ----------
+        operators
+            URL of the operators' address of any instance.
+        prune
+            Also delete every resource that the files do not declare.
+        change_id
+            Name of this change; sent again, it gets the outcome of the first.
+        """
+        if not files:
+            return self._usage("apply needs at least one file")
+        checked = check_files(files)
+        if checked.findings:
+            self._console.complain(format_findings(checked.findings))
+            return ExitCode.REFUSED
+        resources = [item.resource for item in checked.resources]
+        if not resources:
+            return self._usage("the files declare no resource")
+        steps = apply_steps(
+            operators, resources, _is_true(prune), change_id or uuid4().hex, self._console.write
+        )
+        return self._console.perform(steps)
+
+    @as_text
+    def get(
+        self, kind: str, name: str = "", operators: str = OPERATORS_URL, output: str = "json"
+    ) -> int:
+        """Write one resource, or all of a kind, as they are in force on an instance.
+
+        Parameters
+        ----------
+        kind
+            service, search, route or caller.
+        name
+            Name of the resource; without it, all of the kind.
+        operators
+            URL of the operators' address of any instance.
+        output
+            json, or ini for text that 'apply' takes.
+        """
+        kinds = tuple(item.value for item in Kind)
+        if kind not in kinds:
+            return self._usage(
+                f"kind {kind!r} is unknown{suggest(kind, kinds)}; kinds are {', '.join(kinds)}"
+            )
+        if output not in ("json", "ini"):
+            return self._usage(f"got --output {output!r}, expected json or ini")
+        path = f"/v1/resources/{kind}" + (f"/{quote(name, safe='')}" if name else "")
+        show = show_ini if output == "ini" else show_json
+        return self._console.perform(read_steps(operators, path, self._console.write, show))
+
+    @as_text
+    def delete(
+        self, kind: str, name: str, operators: str = OPERATORS_URL, expected_revision: str = ""
+    ) -> int:
+        """Delete one resource.
+
+        Parameters
+        ----------
+        kind
+            service, search, route or caller.
+        name
+            Name of the resource.
+        operators
+            URL of the operators' address of any instance.
+        expected_revision
+            Delete it only at this revision.
+        """
+        query = f"?expected_revision={quote(expected_revision)}" if expected_revision else ""
+        url = f"{operators}/v1/resources/{quote(kind, safe='')}/{quote(name, safe='')}{query}"
+        return self._console.perform(change_steps(HttpCall("DELETE", url), self._console.write))
+
+    @as_text
+    def watch(self, since: str = "0", count: str = "0", operators: str = OPERATORS_URL) -> int:
+        """Write each change that comes into force, one line of JSON each.
+
+        Parameters
+        ----------
+        since
+            Generation to resume after.
+        count
+            End after this many changes; 0 goes on.
+        operators
+            URL of the operators' address of any instance.
+        """
+        if not (since.isdigit() and count.isdigit()):
+            return self._usage("--since and --count take whole numbers")
+        steps = watch_steps(operators, int(since), int(count), self._console.write)
+        return self._console.perform(steps)
+
+    @as_text
+    def status(self, operators: str = OPERATORS_URL) -> int:
+        """Write what is in force where, and which instances were not heard from."""
+        return self._console.perform(read_steps(operators, "/v1/status", self._console.write))
+
+    @as_text
+    def notices(self, operators: str = OPERATORS_URL) -> int:
+        """Write the open notices: what needs a decision, and the choices."""
+        return self._console.perform(read_steps(operators, "/v1/notices", self._console.write))
+
+    @as_text
+    def restore(self, choice: str, operators: str = OPERATORS_URL) -> int:
+        """Decide what is in force after the store was restored to an older configuration.
+
+        Parameters
+        ----------
+        choice
+            keep-in-force or take-stored.
+        operators
+            URL of the operators' address of any instance.
+        """
+        choices = tuple(item.value for item in RestoreChoice)
+        if choice not in choices:
+            return self._usage(f"got {choice!r}, expected one of {', '.join(choices)}")
+        call = HttpCall("POST", f"{operators}/v1/restore", b'{"choice": "%s"}' % choice.encode())
+        return self._console.perform(change_steps(call, self._console.write))
+
+    @as_text
+    def query(
+        self, search: str, query: str = "{}", callers: str = CALLERS_URL, caller: str = ""
+    ) -> int:
+        """Send one search as a caller does, and write its whole answer.
+
+        Parameters
+        ----------
+        search
+            Name of the declared search.
+        query
+            The query, JSON; '@FILE' reads a file, '@-' standard input.
+        callers
+            URL of the callers' address of any instance, or of the balancer.
+        caller
+            Name of the declared caller.
+        """
+        headers = (("x-caller", caller),) if caller else ()
+        url = f"{callers}/v1/searches/{quote(search, safe='')}"
+        call = HttpCall("POST", url, _read_argument(query), headers)
+        return self._console.perform(submit_steps(call, self._console.write))
+
+    @as_text
+    def order(
+        self,
+        route: str,
+        body: str = "{}",
+        key: str = "",
+        callers: str = CALLERS_URL,
+        caller: str = "",
+    ) -> int:
+        """Send one request of a route as a caller does, and write its outcome.
+
+        Parameters
+        ----------
+        route
+            Name of the declared route.
+        body
+            The request, JSON; '@FILE' reads a file, '@-' standard input.
+        key
+            The idempotency key. Send the same key again if the exit code is 4.
+        callers
+            URL of the callers' address of any instance, or of the balancer.
+        caller
+            Name of the declared caller.
+        """
+        headers = tuple(
+            (name, value)
+            for name, value in (("idempotency-key", key), ("x-caller", caller))
+            if value
+        )
+        url = f"{callers}/v1/routes/{quote(route, safe='')}"
+        call = HttpCall("POST", url, _read_argument(body), headers)
+        return self._console.perform(submit_steps(call, self._console.write))
+
+    @as_text
+    def replay(self, *traces: str) -> int:
+        """Replay recorded traces; writes what was expected and what came."""
+        if not traces:
+            return self._usage("replay needs at least one trace file")
+        return import_module("savoryarch.replay").replay_files(traces, self._console.write)
+
+    def token(self) -> int:
+        """Make a random token for operators, and its hash for the settings."""
+        made = import_module("savoryarch.api").make_token()
+        self._console.write(f"token = {made.token}\ntoken_hash = {made.token_hash}")
+        return ExitCode.OK
+
+    def version(self) -> int:
+        """Write the version of the program."""
+        self._console.write(f"savoryarch {__version__}")
+        return ExitCode.OK
+
+    def _usage(self, message: str) -> int:
+        self._console.complain(f"savoryarch: {message}; see savoryarch --help")
+        return ExitCode.USAGE
+
+
+def _read_argument(text: str) -> bytes:
+    if text == _STANDARD_INPUT:
+        return sys.stdin.buffer.read()
+    if text.startswith(_FILE_PREFIX):
+        return Path(text.removeprefix(_FILE_PREFIX)).read_bytes()
+    return text.encode()
+
+
+def _is_true(text: str) -> bool:
+    return text.lower() in _TRUE_WORDS
--- /dev/null
+++ b/savoryarch/cli/_files.py
@@ -0,0 +1,84 @@
+"""Reads settings and resource files for the command line."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from savoryarch.configuration import change_declarations, check_declarations
+from savoryarch.model import Declarations, PutResource, ResourceKey, resource_key
+from savoryarch.resources import DeclaredResource, parse_resources, place_in
+from savoryarch.settings import SECTIONS, parse_settings
+from savoryarch.utils import Finding, Place, read_ini
+
+
+@dataclass(frozen=True, slots=True)
+class CheckedFiles:
+    """What the files hold.
+
+    Parameters
+    ----------
+    resources : tuple of DeclaredResource
+        The resources of all files together.
+    settings_count : int
+        How many of the files hold settings.
+    findings : tuple of Finding
+        Everything that is wrong.
+    """
+
+    resources: tuple[DeclaredResource, ...]
+    settings_count: int
+    findings: tuple[Finding, ...]
+
+
+def check_files(paths: Iterable[str]) -> CheckedFiles:
+    """Read and check files of settings and of resources; the latter belong together."""
+    resources: list[DeclaredResource] = []
+    findings: list[Finding] = []
+    settings_count = 0
+    for path in paths:
+        try:
+            text = Path(path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            findings.append(Finding(Place(path), f"cannot be read: {error}"))
+            continue
+        if _holds_settings(text, path):
+            settings_count += 1
+            findings += parse_settings(text, path)[1]
+        else:
+            parsed, more = parse_resources(text, path)
+            resources += parsed
+            findings += more
+    by_key = {resource_key(item.resource): item for item in resources}
+    findings += _twice(resources, by_key)
+    if not findings:
+        findings += _check_together(resources, by_key)
+    return CheckedFiles(tuple(resources), settings_count, tuple(sorted(findings)))
+
+
+def _holds_settings(text: str, path: str) -> bool:
+    document, _ = read_ini(text, path)
+    return any(section.name in SECTIONS for section in document.sections)
+
+
+def _twice(
+    resources: Iterable[DeclaredResource], by_key: Mapping[ResourceKey, DeclaredResource]
+) -> list[Finding]:
+    return [
+        Finding(item.places[""], f"is declared again at {by_key[key].places['']}")
+        for item in resources
+        if by_key[key := resource_key(item.resource)] is not item
+    ]
+
+
+def _check_together(
+    resources: Iterable[DeclaredResource], by_key: Mapping[ResourceKey, DeclaredResource]
+) -> list[Finding]:
+    changes = tuple(PutResource(item.resource) for item in resources)
+    declarations = change_declarations(Declarations(), changes)
+    by_path = {f"{key.kind.value}.{key.name}": item for key, item in by_key.items()}
+    findings: list[Finding] = []
+    for finding in check_declarations(declarations):
+        kind, name, *rest = finding.place.path.split(".")
+        place = place_in(by_path[f"{kind}.{name}"], rest[0] if rest else "")
+        findings.append(replace(finding, place=replace(place, path=finding.place.path)))
+    return findings
--- /dev/null
+++ b/savoryarch/cli/_main.py
@@ -0,0 +1,133 @@
+"""Entry point of the program."""
+
+import sys
+from collections.abc import Callable, Sequence
+from inspect import Parameter, getdoc, getmembers, isroutine, signature
+
+import fire
+
+from savoryarch.cli._commands import Commands, Console
+from savoryarch.cli._exit import EXIT_CODE_HELP, ExitCode
+from savoryarch.utils import suggest
+
+_HELP_WORDS = frozenset({"--help", "-h"})
+_HEAD = """savoryarch: a query tier between callers and many shards.
+
+usage: savoryarch COMMAND [ARGUMENT...] [--OPTION VALUE...]
+       savoryarch COMMAND --help
+
+commands:"""
+_EXAMPLES = """
+examples:
+  savoryarch check settings.ini resources.ini
+  savoryarch serve --settings settings.ini
+  savoryarch apply resources.ini --operators http://127.0.0.1:8081
+  savoryarch query counter '{"hinge": "H-12"}' --callers http://127.0.0.1:8080
+
+SAVORYARCH_TOKEN holds the operator's token, where the instance asks for one.
+"""
+
+
+def main(arguments: Sequence[str] | None = None, console: Console | None = None) -> int:
+    """Run a command.
+
+    Parameters
+    ----------
+    arguments : sequence of str, optional
+        The command line without the name of the program; that of this process if absent.
+    console : Console, optional
+        How the command reaches the world.
+
+    Returns
+    -------
+    exit_code : int
+        One of `ExitCode`.
+    """
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    console = console or Console()
+    if not given or given[0] in _HELP_WORDS:
+        console.write(make_help())
+        return ExitCode.OK if given else ExitCode.USAGE
+    if given[0] in _commands() and _HELP_WORDS & set(given[1:]):
+        console.write(make_command_help(given[0]))
+        return ExitCode.OK
+    if problem := check_arguments(given):
+        console.complain(f"savoryarch: {problem}; see savoryarch --help")
+        return ExitCode.USAGE
+    try:
+        code = fire.Fire(Commands(console), given, name="savoryarch", serialize=lambda result: None)
+    except SystemExit as error:
+        return int(error.code or ExitCode.OK)
+    except BrokenPipeError:
+        return ExitCode.OK
+    return int(code)
+
+
+def make_help() -> str:
+    """Return the overview of all commands."""
+    rows = [f"  {name:<10}{_summary(command)}" for name, command in _commands().items()]
+    codes = [f"  {code.value}  {meaning}" for code, meaning in EXIT_CODE_HELP]
+    return "\n".join([_HEAD, *rows, "\nexit codes:", *codes]) + "\n" + _EXAMPLES
+
+
+def make_command_help(name: str) -> str:
+    """Return the help of one command, from its signature and docstring."""
+    command = _commands()[name]
+    summary, _, described = (getdoc(command) or "").partition("Parameters\n----------\n")
+    words = [f"usage: savoryarch {name}"]
+    options: list[str] = []
+    for key, item in signature(command).parameters.items():
+        if item.kind is Parameter.VAR_POSITIONAL:
+            words.append(f"{key.upper()}...")
+        elif item.default is Parameter.empty:
+            words.append(key.upper())
+        else:
+            options.append(f"  --{key.replace('_', '-')} (default {item.default!r})")
+    if options:
+        words.append("[--OPTION VALUE...]")
+    parts = [" ".join(words), summary.rstrip()]
+    if described:
+        parts.append(described.rstrip())
+    if options:
+        parts.append("options:\n" + "\n".join(options))
+    return "\n\n".join(parts)
+
+
+def check_arguments(arguments: Sequence[str]) -> str:
+    """Return what is wrong with a command line, or an empty string.
+
+    Fire notices options that it does not know only after it has run the command.
+    """
+    commands = _commands()
+    name, *rest = arguments
+    if name not in commands:
+        return f"command {name!r} is unknown{suggest(name, tuple(commands))}"
+    parameters = signature(commands[name]).parameters
+    takes_any = any(item.kind is Parameter.VAR_POSITIONAL for item in parameters.values())
+    options = tuple(
+        key for key, item in parameters.items() if item.kind is not Parameter.VAR_POSITIONAL
+    )
+    positional = 0
+    words = iter(rest)
+    for word in words:
+        if not word.startswith("--"):
+            positional += 1
+            continue
+        option, has_value, _ = word[2:].partition("=")
+        if option.replace("-", "_") not in options:
+            known = tuple(f"--{item.replace('_', '-')}" for item in options)
+            return f"{name} has no option {word!r}{suggest(word, known)}"
+        if not has_value and option != "prune" and next(words, "--").startswith("--"):
+            return f"option {word!r} needs a value"
+    if not takes_any and positional > len(options):
+        return f"{name} takes at most {len(options)} arguments, got {positional}"
+    return ""
+
+
+def _commands() -> dict[str, Callable[..., int]]:
+    members = getmembers(Commands(), isroutine)
+    return {name: member for name, member in members if not name.startswith("_")}
+
+
+def _summary(command: Callable[..., int]) -> str:
+    return (getdoc(command) or "").split("\n")[0]
--- /dev/null
+++ b/savoryarch/cli/_operate.py
@@ -0,0 +1,174 @@
+"""What the commands of operators send, and how replies become output and exit codes."""
+
+from collections.abc import Callable, Generator, Iterable
+from typing import Any
+
+from msgspec import json
+
+from savoryarch.cli._exit import ExitCode
+from savoryarch.cli._http import HttpCall, HttpFailed, HttpOutcome, HttpReplied, Steps
+from savoryarch.model import Kind, Resource
+from savoryarch.resources import format_resource, resource_from_json, resource_to_json
+
+Write = Callable[[str], None]
+SETTLE_ATTEMPTS = 5
+WATCH_WAIT_MS = 25_000
+_UNKNOWN_STATUS = 504
+_SERVER_ERROR = 500
+
+
+def apply_steps(
+    url: str, resources: Iterable[Resource], prune: bool, change_id: str, write: Write
+) -> Steps:
+    """Apply resources together; an unknown outcome is settled by sending the same change again."""
+    changes: list[dict[str, Any]] = [{"put": _without_revision(item)} for item in resources]
+    if prune:
+        wanted = {(item["put"]["kind"], item["put"]["name"]) for item in changes}
+        held = yield from _list_all(url, write)
+        if held is None:
+            return ExitCode.UNAVAILABLE
+        changes += [
+            {"delete": {"kind": kind, "name": name}}
+            for kind, name in held
+            if (kind, name) not in wanted
+        ]
+    body = json.encode({"change_id": change_id, "changes": changes})
+    for _ in range(SETTLE_ATTEMPTS):
+        outcome = yield _call("POST", f"{url}/v1/apply", body)
+        code = _change_code(outcome)
+        if code is not ExitCode.UNKNOWN:
+            break
+    write_outcome(outcome, write)
+    return code
+
+
+def change_steps(call: HttpCall, write: Write) -> Steps:
+    """Send one change."""
+    outcome = yield call
+    write_outcome(outcome, write)
+    return _change_code(outcome)
+
+
+def read_steps(
+    url: str, path: str, write: Write, show: Callable[[Any], str] | None = None
+) -> Steps:
+    """Read a path and write what it holds."""
+    outcome = yield _call("GET", url + path)
+    match outcome:
+        case HttpReplied(status=200, value=value):
+            write((show or show_json)(value))
+            return ExitCode.OK
+        case _:
+            write_outcome(outcome, write)
+            return _read_code(outcome)
+
+
+def watch_steps(url: str, since: int, count: int, write: Write) -> Steps:
+    """Write each change as a line of JSON; ends after `count` changes, or never for 0."""
+    written = 0
+    while True:
+        outcome = yield _call("GET", f"{url}/v1/watch?since={since}&wait_ms={WATCH_WAIT_MS}")
+        match outcome:
+            case HttpReplied(status=200, value=value):
+                for change in value["changes"]:
+                    write(json.encode(change).decode())
+                    written += 1
+                    if written == count:
+                        return ExitCode.OK
+                since = value["generation"]
+            case _:
+                write_outcome(outcome, write)
+                return _read_code(outcome)
+
+
+def submit_steps(call: HttpCall, write: Write) -> Steps:
+    """Send a search or an order and write its whole outcome."""
+    outcome = yield call
+    write_outcome(outcome, write)
+    match outcome:
+        case HttpReplied(status=status) if status < 300:
+            return ExitCode.OK
+        case HttpReplied(value={"outcome": "unknown"}) | HttpFailed(sent=True):
+            return ExitCode.UNKNOWN
+        case HttpFailed():
+            return ExitCode.UNAVAILABLE
+        case HttpReplied(status=status) if status >= _SERVER_ERROR:
+            return ExitCode.UNAVAILABLE
+        case _:
+            return ExitCode.REFUSED
+
+
+def show_json(value: Any) -> str:
+    """Format JSON for people."""
+    return json.format(json.encode(value)).decode()
+
+
+def show_ini(value: Any) -> str:
+    """Format one resource or a list of them as the INI text that declares them."""
+    items = value.get("items", [value])
+    texts: list[str] = []
+    for item in items:
+        resource, findings = resource_from_json(Kind(item["kind"]), item["name"], item)
+        if resource is None:
+            raise ValueError(f"got a resource that is not valid: {findings}")
+        texts.append(format_resource(resource))
+    return "\n".join(texts).rstrip()
+
+
+def write_outcome(outcome: HttpOutcome, write: Write) -> None:
+    """Write a reply, or why there is none."""
+    match outcome:
+        case HttpReplied(value=str() as text):
+            write(text)
+        case HttpReplied(value=value):
+            write(show_json(value))
+        case HttpFailed(detail=detail):
+            write(detail)
+
+
+def _list_all(
+    url: str, write: Write
+) -> Generator[HttpCall, HttpOutcome, list[tuple[str, str]] | None]:
+    held: list[tuple[str, str]] = []
+    for kind in Kind:
+        outcome = yield _call("GET", f"{url}/v1/resources/{kind.value}")
+        match outcome:
+            case HttpReplied(status=200, value=value):
+                held += [(item["kind"], item["name"]) for item in value["items"]]
+            case _:
+                write_outcome(outcome, write)
+                return None
+    return held
+
+
+def _without_revision(resource: Resource) -> dict[str, Any]:
+    value = resource_to_json(resource, 0)
+    del value["revision"]
+    return value
+
+
+def _call(method: str, url: str, body: bytes | None = None) -> HttpCall:
+    headers = (("content-type", "application/json"),) if body is not None else ()
+    return HttpCall(method, url, body, headers, timeout_s=WATCH_WAIT_MS / 1000 + 5.0)
+
+
+def _change_code(outcome: HttpOutcome) -> ExitCode:
+    match outcome:
+        case HttpReplied(status=status) if status < 300:
+            return ExitCode.OK
+        case HttpReplied(status=status) if status == _UNKNOWN_STATUS:
+            return ExitCode.UNKNOWN
+        case HttpReplied(status=status) if status >= _SERVER_ERROR:
+            return ExitCode.UNAVAILABLE
+        case HttpReplied():
+            return ExitCode.REFUSED
+        case HttpFailed(sent=sent):
+            return ExitCode.UNKNOWN if sent else ExitCode.UNAVAILABLE
+
+
+def _read_code(outcome: HttpOutcome) -> ExitCode:
+    match outcome:
+        case HttpReplied(status=status) if status < _SERVER_ERROR:
+            return ExitCode.REFUSED
+        case _:
+            return ExitCode.UNAVAILABLE
--- /dev/null
+++ b/savoryarch/cli/tests/test_cli.py
@@ -0,0 +1,166 @@
+import pytest
+
+from savoryarch.cli import Console, ExitCode, HttpFailed, HttpReplied, main
+
+SETTINGS = "[instance]\ninstance_id = entry-1\navailability_zone = zone-a\n"
+RESOURCES = "[caller portal]\nweight = 2\n"
+ACCEPTED = HttpReplied(200, {"outcome": "accepted"})
+UNKNOWN = HttpReplied(504, {"outcome": "unknown"})
+
+
+class World:
+    """Answers requests from a list and keeps what was written and sent."""
+
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes)
+        self.calls = []
+        self.written = []
+        self.complaints = []
+
+    def perform(self, steps):
+        outcome = None
+        while True:
+            try:
+                self.calls.append(steps.send(outcome))
+            except StopIteration as ended:
+                return ended.value
+            outcome = self.outcomes.pop(0)
+
+    def run(self, *arguments):
+        console = Console(self.perform, self.written.append, self.complaints.append)
+        return main(arguments, console)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code", "complaint"),
+    [
+        (["version"], ExitCode.OK, None),
+        (["--help"], ExitCode.OK, None),
+        (["apply", "x", "--help"], ExitCode.OK, None),
+        ([], ExitCode.USAGE, None),
+        (["aply", "x"], ExitCode.USAGE, "command 'aply' is unknown; did you mean 'apply'?"),
+        (["apply"], ExitCode.USAGE, "needs at least one file"),
+        (["apply", "x", "--prun"], ExitCode.USAGE, "has no option '--prun'; did you mean"),
+        (["apply", "x", "--operators"], ExitCode.USAGE, "option '--operators' needs a value"),
+        (["status", "a", "b"], ExitCode.USAGE, "status takes at most 1 arguments, got 2"),
+        (["get", "serch"], ExitCode.USAGE, "kind 'serch' is unknown; did you mean 'search'?"),
+        (["get", "search", "--output", "xml"], ExitCode.USAGE, "expected json or ini"),
+        (["watch", "--since", "x"], ExitCode.USAGE, "take whole numbers"),
+        (["restore", "both"], ExitCode.USAGE, "expected one of keep-in-force, take-stored"),
+        (["check", "absent.ini"], ExitCode.REFUSED, "absent.ini: cannot be read"),
+        (["serve", "--settings", "absent.ini"], ExitCode.REFUSED, "cannot be read"),
+    ],
+)
+def test_usage(arguments, code, complaint):
+    world = World()
+    assert world.run(*arguments) == code
+    assert not world.calls
+    assert complaint is None or complaint in "\n".join(world.complaints)
+
+
+@pytest.mark.parametrize(
+    ("texts", "code", "findings"),
+    [
+        ([SETTINGS, RESOURCES], ExitCode.OK, []),
+        ([SETTINGS + "[log]\nlevle = x"], ExitCode.REFUSED, ["0.ini:5 log.levle: key 'levle' is"]),
+        (
+            ["[route r]\nservice = x\ndeadline_ms = 5", "[caller b]\nweight = 0"],
+            ExitCode.REFUSED,
+            ["1.ini:2 caller.b.weight: got 0"],
+        ),
+        (
+            [RESOURCES, "[route r]\nservice = x\ndeadline_ms = 5"],
+            ExitCode.REFUSED,
+            ["1.ini:2 route.r.service: got service 'x', which does not exist"],
+        ),
+        ([RESOURCES, RESOURCES], ExitCode.REFUSED, ["0.ini:1 caller.portal: is declared again"]),
+    ],
+)
+def test_check(tmp_path, monkeypatch, texts, code, findings):
+    monkeypatch.chdir(tmp_path)
+    for number, text in enumerate(texts):
+        (tmp_path / f"{number}.ini").write_text(text)
+    world = World()
+    assert world.run("check", *(f"{number}.ini" for number in range(len(texts)))) == code
+    lines = world.complaints[0].split("\n") if findings else []
+    assert [line[: len(start)] for line, start in zip(lines, findings, strict=True)] == findings
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "code", "calls"),
+    [
+        ([ACCEPTED], ExitCode.OK, 1),
+        ([UNKNOWN, ACCEPTED], ExitCode.OK, 2),
+        ([HttpFailed("reset", True), ACCEPTED], ExitCode.OK, 2),
+        ([UNKNOWN] * 5, ExitCode.UNKNOWN, 5),
+        ([HttpFailed("refused", False)], ExitCode.UNAVAILABLE, 1),
+        ([HttpReplied(409, {})], ExitCode.REFUSED, 1),
+        ([HttpReplied(503, {})], ExitCode.UNAVAILABLE, 1),
+    ],
+)
+def test_apply_settles_an_unknown_outcome(tmp_path, outcomes, code, calls):
+    path = tmp_path / "resources.ini"
+    path.write_text(RESOURCES)
+    world = World(*outcomes)
+    assert world.run("apply", str(path)) == code
+    assert len(world.calls) == calls
+    assert len({call.body for call in world.calls}) == 1
+
+
+def test_prune_deletes_what_is_not_declared(tmp_path):
+    path = tmp_path / "resources.ini"
+    path.write_text(RESOURCES)
+    old = {"kind": "caller", "name": "old"}
+    held = HttpReplied(200, {"items": []})
+    world = World(held, held, held, HttpReplied(200, {"items": [old]}), ACCEPTED)
+    assert world.run("apply", str(path), "--prune") == ExitCode.OK
+    assert b'{"delete":{"kind":"caller","name":"old"}}' in world.calls[-1].body
+
+
+@pytest.mark.parametrize(
+    ("arguments", "url"),
+    [
+        (["get", "caller", "007"], "http://127.0.0.1:8081/v1/resources/caller/007"),
+        (["get", "caller", "1e5"], "http://127.0.0.1:8081/v1/resources/caller/1e5"),
+        (["get", "caller", "None"], "http://127.0.0.1:8081/v1/resources/caller/None"),
+        (["query", "[1]", "--caller", "0x1"], "http://127.0.0.1:8080/v1/searches/%5B1%5D"),
+        (["order", "o", "--key", "1e5"], "http://127.0.0.1:8080/v1/routes/o"),
+        (["delete", "caller", "a/b"], "http://127.0.0.1:8081/v1/resources/caller/a%2Fb"),
+    ],
+)
+def test_arguments_stay_text(arguments, url):
+    world = World(ACCEPTED)
+    assert world.run(*arguments) == ExitCode.OK
+    assert world.calls[0].url == url
+    headers = {value for _, value in world.calls[0].headers}
+    assert headers <= {"0x1", "1e5"}
+
+
+@pytest.mark.parametrize(
+    ("outcome", "code"),
+    [
+        (HttpReplied(200, {"outcome": "answered"}), ExitCode.OK),
+        (HttpReplied(404, {"outcome": "refused"}), ExitCode.REFUSED),
+        (HttpReplied(503, {"outcome": "refused"}), ExitCode.UNAVAILABLE),
+        (HttpReplied(504, {"outcome": "unknown"}), ExitCode.UNKNOWN),
+        (HttpFailed("reset", True), ExitCode.UNKNOWN),
+        (HttpFailed("refused", False), ExitCode.UNAVAILABLE),
+    ],
+)
+def test_order_exit_codes(outcome, code):
+    assert World(outcome).run("order", "o", "--key", "k1") == code
+
+
+def test_watch_resumes_where_it_stopped():
+    changes = [{"type": "delete", "kind": "caller", "name": name} for name in ("a", "b")]
+    world = World(
+        HttpReplied(200, {"generation": 3, "changes": changes[:1]}),
+        HttpReplied(200, {"generation": 3, "changes": []}),
+        HttpReplied(200, {"generation": 4, "changes": changes[1:]}),
+    )
+    assert world.run("watch", "--since", "2", "--count", "2") == ExitCode.OK
+    assert [call.url.split("?")[1].split("&")[0] for call in world.calls] == [
+        "since=2",
+        "since=3",
+        "since=3",
+    ]
--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -4,8 +4,10 @@
 from pathlib import Path
 from typing import Any, get_type_hints
 
+from savoryarch.admission import AdmissionSettings
 from savoryarch.configuration import ConfigurationSettings
 from savoryarch.exceptions import FindingsError
+from savoryarch.membership import MembershipSettings
 from savoryarch.search import SearchSettings
 from savoryarch.settings._sections import (
     CallersSettings,
@@ -15,6 +17,7 @@
     PeersSettings,
     PlatformSettings,
 )
+from savoryarch.shutdown import ShutdownSettings
 from savoryarch.targets import TargetsSettings
 from savoryarch.utils import (
     Finding,
@@ -42,6 +45,9 @@
     log: LogSettings
     targets: TargetsSettings
     search: SearchSettings
+    admission: AdmissionSettings
+    membership: MembershipSettings
+    shutdown: ShutdownSettings
     configuration: ConfigurationSettings
 
 
