--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any, get_type_hints
 
+from savoryarch.admission import AdmissionSettings
 from savoryarch.configuration import ConfigurationSettings
 from savoryarch.exceptions import FindingsError
 from savoryarch.membership import MembershipSettings
@@ -46,9 +47,10 @@
     targets: TargetsSettings
     search: SearchSettings
     orders: OrdersSettings
-    configuration: ConfigurationSettings
+    admission: AdmissionSettings
     membership: MembershipSettings
     shutdown: ShutdownSettings
+    configuration: ConfigurationSettings
 
 
 SECTIONS: dict[str, type] = {name: kind for name, kind in get_type_hints(Settings).items()}
