Run a whole cluster of processes from one plan

Cause: the demonstration and the process tests need the platform's stand-ins, targets and entry instances as separate processes that surely end. Change: Cluster starts the store, the list, the balancer, one process of target stand-ins per availability zone and the entry instances on free loopback ports, waits for their ready lines, and ends all by id, also after a failure.

--- /dev/null
+++ b/savoryarch_standins/harness/_cluster.py
@@ -0,0 +1,238 @@
+"""Runs the stand-ins and entry instances of a plan, each as a process of its own."""
+
+import subprocess
+import sys
+import tempfile
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+import requests
+
+from savoryarch.model import Service, Target
+from savoryarch.resources import format_resource
+from savoryarch_standins.harness._plans import ClusterPlan, EntryPlan
+from savoryarch_standins.harness._process import Address, ManagedProcess, StartError, start_process
+from savoryarch_standins.target import TargetSpec, read_settings
+
+HTTP_TIMEOUT_S = 10.0
+APPLY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 60.0
+
+
+class Cluster:
+    """Use as a context manager; every process has ended afterwards, also after a failure.
+
+    Parameters
+    ----------
+    plan : ClusterPlan
+        What to start.
+
+    Attributes
+    ----------
+    store, instance_list, balancer : ManagedProcess
+        The platform's stand-ins.
+    targets : dict of str to ManagedProcess
+        One process of target stand-ins for each availability zone.
+    entries : dict of str to ManagedProcess
+        Running entry instances by id.
+    """
+
+    def __init__(self, plan: ClusterPlan) -> None:
+        self.plan = plan
+        self.targets: dict[str, ManagedProcess] = {}
+        self.entries: dict[str, ManagedProcess] = {}
+        self.store: ManagedProcess
+        self.instance_list: ManagedProcess
+        self.balancer: ManagedProcess
+        self._plans: dict[str, EntryPlan] = {}
+        self._started: list[ManagedProcess] = []
+        self._stack = ExitStack()
+        self._specs = _read_specs(plan.targets)
+
+    def __enter__(self) -> "Cluster":
+        self.folder = Path(
+            self._stack.enter_context(tempfile.TemporaryDirectory(prefix="savoryarch-"))
+        )
+        self._stack.callback(self._end)
+        try:
+            self._start_platform()
+            for plan in self.plan.entries:
+                self.start_entry(plan)
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._stack.close()
+
+    def start_entry(self, plan: EntryPlan) -> ManagedProcess:
+        """Start an entry instance, list it and have the balancer check it."""
+        path = self.folder / f"{plan.instance_id}.ini"
+        path.write_text(self._entry_settings(plan), encoding="utf-8")
+        process = self._start(
+            plan.instance_id, ["-m", "savoryarch", "serve", "--settings", str(path)]
+        )
+        self.entries[plan.instance_id] = process
+        self._plans[plan.instance_id] = plan
+        self.show_entries()
+        return process
+
+    def forget_entry(self, instance_id: str) -> None:
+        """Take an entry instance out of the list and of the balancer's checks."""
+        self.entries.pop(instance_id)
+        self.show_entries()
+
+    def show_entries(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Tell the list and the balancer which entry instances there are."""
+        rows = [
+            {
+                "instance_id": instance_id,
+                "role": "entry",
+                "availability_zone": self._plans[instance_id].availability_zone,
+                "host": process.address("peers").host,
+                "port": process.address("peers").port,
+                "state": "leaving" if instance_id in leaving else "live",
+            }
+            for instance_id, process in self.entries.items()
+        ]
+        switch(self.instance_list.address(), rows=rows + self._target_rows())
+        callers = [process.address("callers") for process in self.entries.values()]
+        self.switch_balancer(
+            entries=[{"host": address.host, "port": address.port} for address in callers]
+        )
+
+    def wait_until_balanced(self, instance_ids: tuple[str, ...]) -> None:
+        """Wait until the balancer passes connections to exactly these entry instances."""
+        callers = [self.entries[instance_id].address("callers") for instance_id in instance_ids]
+        body: Any = [{"host": address.host, "port": address.port} for address in callers]
+        reply = requests.post(
+            f"http://{self._balancer_admin()}/wait", json=body, timeout=HTTP_TIMEOUT_S
+        )
+        reply.raise_for_status()
+
+    def switch_balancer(self, **switches: Any) -> None:
+        """Set switches of the balancer."""
+        switch(self._balancer_admin(), **switches)
+
+    def declare(self, resources: str) -> None:
+        """Apply the services of the targets and further resources, through the first entry."""
+        path = self.folder / "resources.ini"
+        path.write_text(self.services_text() + "\n" + resources, encoding="utf-8")
+        operators = next(iter(self.entries.values())).address("operators")
+        arguments = [sys.executable, "-m", "savoryarch", "apply", str(path)]
+        subprocess.run(
+            [*arguments, "--url", f"http://{operators}"], check=True, timeout=APPLY_TIMEOUT_S
+        )
+
+    def services_text(self) -> str:
+        """Return the services of the target stand-ins, as for ``savoryarch apply``."""
+        return "\n".join(format_resource(service) for service in self.services())
+
+    def services(self) -> tuple[Service, ...]:
+        """Return the services of the target stand-ins with the addresses that they listen on."""
+        targets: dict[str, list[Target]] = {}
+        for spec in self._specs:
+            address = self.target_address(spec.target_id)
+            zone = spec.availability_zone
+            target = Target(spec.target_id, spec.service, zone, address.host, address.port)
+            targets.setdefault(spec.service, []).append(target)
+        by_service = {spec.service: spec for spec in self._specs}
+        return tuple(
+            Service(
+                name=name,
+                group=name.rstrip("0123456789").rstrip("-"),
+                slots=spec.slots,
+                connection_limit=spec.connection_limit,
+                targets=tuple(targets[name]),
+            )
+            for name, spec in by_service.items()
+        )
+
+    def target_address(self, target_id: str) -> Address:
+        """Return the address of a target stand-in."""
+        for process in self.targets.values():
+            ports = dict(item.split(":") for item in process.fields["ports"].split(","))
+            if target_id in ports:
+                return Address(process.fields["host"], int(ports[target_id]))
+        raise KeyError(target_id)
+
+    def logs(self) -> str:
+        """Return the end of the log of every process."""
+        return "\n".join(f"== {process.name}\n{process.log_tail()}" for process in self._started)
+
+    def _start_platform(self) -> None:
+        self.store = self._start("store", ["-m", "savoryarch_standins.store"])
+        self.instance_list = self._start("list", ["-m", "savoryarch_standins.instance_list"])
+        self.balancer = self._start("balancer", ["-m", "savoryarch_standins.balancer"])
+        switch(self.instance_list.address(), lag_ms=self.plan.list_lag_ms)
+        self.switch_balancer(
+            check_interval_ms=self.plan.check_interval_ms, lag_ms=self.plan.balancer_lag_ms
+        )
+        path = self.folder / "targets.ini"
+        path.write_text(self.plan.targets, encoding="utf-8")
+        for zone in sorted({spec.availability_zone for spec in self._specs}):
+            names = [spec.target_id for spec in self._specs if spec.availability_zone == zone]
+            arguments = ["-m", "savoryarch_standins.target", "--settings", str(path)]
+            self.targets[zone] = self._start(
+                f"targets-{zone}", [*arguments, "--target", ",".join(names)]
+            )
+
+    def _start(self, name: str, arguments: list[str]) -> ManagedProcess:
+        process = start_process(name, arguments, self.folder)
+        self._started.append(process)
+        return process
+
+    def _entry_settings(self, plan: EntryPlan) -> str:
+        sections: dict[str, dict[str, str]] = {
+            "instance": {
+                "instance_id": plan.instance_id,
+                "availability_zone": plan.availability_zone,
+            },
+            "callers": {"port": str(plan.callers_port)},
+            "operators": {"port": str(plan.operators_port)},
+            "peers": {"port": str(plan.peers_port)},
+            "platform": {
+                "store_url": f"http://{self.store.address()}",
+                "instance_list_url": f"http://{self.instance_list.address()}",
+            },
+        }
+        for name, values in self.plan.settings.items():
+            sections[name] = {**sections.get(name, {}), **values}
+        return "\n".join(
+            f"[{name}]\n" + "".join(f"{key} = {value}\n" for key, value in values.items())
+            for name, values in sections.items()
+        )
+
+    def _target_rows(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "instance_id": spec.target_id,
+                "role": "target",
+                "availability_zone": spec.availability_zone,
+                "host": self.target_address(spec.target_id).host,
+                "port": self.target_address(spec.target_id).port,
+            }
+            for spec in self._specs
+        ]
+
+    def _balancer_admin(self) -> Address:
+        return Address(self.balancer.fields["host"], int(self.balancer.fields["admin_port"]))
+
+    def _end(self) -> None:
+        for process in reversed(self._started):
+            process.kill()
+
+
+def switch(address: Address, **switches: Any) -> None:
+    """Set switches of a stand-in."""
+    reply = requests.post(f"http://{address}/switches", json=switches, timeout=HTTP_TIMEOUT_S)
+    reply.raise_for_status()
+
+
+def _read_specs(text: str) -> tuple[TargetSpec, ...]:
+    read = read_settings(text, "targets.ini")
+    if read.findings:
+        raise StartError("\n".join(str(finding) for finding in read.findings))
+    return read.settings.specs
