--- a/savoryarch/search/_sending.py
+++ b/savoryarch/search/_sending.py
@@ -105,8 +105,8 @@
             hedging = QuantileHedging()
         case QuantileHedging():
             pass
-    tail = targets.services[service].tail
-    return tail.value_ms if tail.samples >= hedging.least_samples else hedging.first_delay_ms
+    known = targets.services[service].histogram
+    return known.tail_ms if known.samples >= hedging.least_samples else hedging.first_delay_ms
 
 
 def pay(turn: Turn, requests: int = 1) -> Turn | None:
--- a/savoryarch/search/tests/driver.py
+++ b/savoryarch/search/tests/driver.py
@@ -11,8 +11,11 @@
     CancelAttempt,
     Cancelled,
     ClearTimer,
+    DeadlinePassed,
     Declarations,
     DeclarationsInForce,
+    Draining,
+    NotSent,
     PartReturned,
     ProbeTarget,
     Search,
@@ -21,8 +24,10 @@
     Service,
     SetTimer,
     ShardMap,
+    Shed,
     Sign,
     SnapshotId,
+    SnapshotNotServed,
     Target,
     TargetSigned,
     TimedOut,
@@ -75,6 +80,8 @@
         self.answered_at_ms: dict[str, float] = {}
         self.sends: list[SendAttempt] = []
         self.cancelled: list[str] = []
+        self.replies: dict[str, object] = {}
+        self.asked_for: dict[str, str] = {}  # request id by attempt id
         self.effects: list[object] = []
         self._due: list = []
         self._order = 0
@@ -105,6 +112,8 @@
                 continue
             if isinstance(event, AttemptEnded) and not self._open.pop(event.attempt_id, None):
                 continue
+            if isinstance(event, AttemptEnded):
+                self.replies[event.attempt_id] = event.reply
             self.now_ms = max(self.now_ms, at_ms)
             self.offer(event)
         self.now_ms = max(self.now_ms, until_ms)
@@ -113,6 +122,16 @@
         (outcome,) = self.answers[request_id]
         return outcome
 
+    def replied_not_run(self, attempt_id: str) -> bool:
+        """Return whether the attempt ended with the target's word that nothing ran."""
+        match self.replies.get(attempt_id):
+            case SnapshotNotServed() | Shed() | Draining() | NotSent():
+                return True
+            case DeadlinePassed(not_run=not_run):
+                return not_run
+            case _:
+                return False
+
     def in_flight(self) -> dict[str, int]:
         return {key: record.in_flight for key, record in self.targets.records.items()}
 
@@ -140,6 +159,9 @@
 
     def _send(self, send: SendAttempt) -> None:
         self.sends.append(send)
+        if attempt := self.search.attempts.get(send.attempt_id):
+            self.asked_for[send.attempt_id] = attempt.request_id
+            assert attempt.request_id not in self.answers, "sent after the answer"
         self._open[send.attempt_id] = send.target_id
         after_ms, reply = self.script(send, self.now_ms)
         at_ms = min(self.now_ms + after_ms, send.deadline_at_ms)
--- a/savoryarch/targets/_attempts.py
+++ b/savoryarch/targets/_attempts.py
@@ -18,7 +18,7 @@
     TargetFailed,
     TimedOut,
 )
-from savoryarch.targets._latency import add_to_quantile, add_to_recent
+from savoryarch.targets._latency import add_latency, add_to_recent
 from savoryarch.targets._life import apply_sign, put_record
 from savoryarch.targets._limits import lower_limit, raise_limit
 from savoryarch.targets._state import TargetRecord, TargetsState
@@ -52,8 +52,13 @@
     record = state.records.get(target_id)
     if record is None:
         return state
-    recent = add_to_recent(record.recent, waited_ms, now_ms, censored=True)
-    return replace(state, records=state.records.set(target_id, replace(record, recent=recent)))
+    record = replace(
+        record,
+        recent=add_to_recent(record.recent, waited_ms, now_ms, censored=True),
+        overdue=record.overdue + 1,
+        overdue_at_ms=now_ms,
+    )
+    return replace(state, records=state.records.set(target_id, record))
 
 
 def deny_snapshot(state: TargetsState, target_id: str, snapshot: SnapshotId) -> TargetsState:
@@ -102,8 +107,7 @@
 ) -> TargetRecord:
     match ended.reply:
         case PartReturned() | RouteReturned():
-            recent = add_to_recent(record.recent, latency_ms, now_ms)
-            return raise_limit(replace(record, recent=recent, replied_at_ms=now_ms))
+            return raise_limit(_learn_latency(state, record, latency_ms, now_ms))
         case Shed(retry_after_ms=retry_after_ms):
             pause_ms = state.settings.shed_pause_ms if retry_after_ms is None else retry_after_ms
             return lower_limit(record, max(0.0, pause_ms), now_ms)
@@ -114,6 +118,18 @@
             return record
 
 
+def _learn_latency(
+    state: TargetsState, record: TargetRecord, latency_ms: float, now_ms: float
+) -> TargetRecord:
+    tail_ms = state.services[record.target.service].histogram.tail_ms
+    return replace(
+        record,
+        recent=add_to_recent(record.recent, latency_ms, now_ms),
+        overdue=0 if latency_ms <= tail_ms else record.overdue,
+        replied_at_ms=now_ms,
+    )
+
+
 def _learn_snapshots(
     record: TargetRecord, snapshots: tuple[SnapshotId, ...], now_ms: float
 ) -> TargetRecord:
@@ -134,20 +150,21 @@
             return state
     name = record.target.service
     service = state.services[name]
-    median = add_to_quantile(service.median, latency_ms, censored=censored)
-    tail = add_to_quantile(service.tail, latency_ms, censored=censored)
-    service = replace(service, median=median, tail=tail)
-    return replace(state, services=state.services.set(name, service))
+    histogram = add_latency(service.histogram, latency_ms, censored=censored)
+    services = state.services.set(name, replace(service, histogram=histogram))
+    return replace(state, services=services)
 
 
 def _sign_of(ended: AttemptEnded) -> str | None:
     match ended.reply:
         case Draining():
             return "draining"
-        case ConnectionLost() | NotSent():
+        case ConnectionLost():
             return "closed"
         case (
-            PartReturned()
+            # a refused connection is signed by itself; a connection that was not free is no sign
+            NotSent()
+            | PartReturned()
             | RouteReturned()
             | Shed()
             | SnapshotNotServed()
--- a/savoryarch/targets/_choose.py
+++ b/savoryarch/targets/_choose.py
@@ -3,11 +3,12 @@
 from savoryarch.model import SnapshotId
 from savoryarch.targets._latency import expected_latency_ms
 from savoryarch.targets._life import LIVE
-from savoryarch.targets._limits import in_flight_limit
+from savoryarch.targets._limits import in_flight_limit, is_suspect
 from savoryarch.targets._settings import LeastExpectedLatency, RoundRobin
 from savoryarch.targets._state import TargetRecord, TargetsState
 
 _SLOW_RATIO = 2.0  # below it, differences in latency are taken for noise
+_MAX_DOUBLINGS = 5
 
 
 def choose_target(
@@ -41,7 +42,7 @@
     declared = state.services.get(service)
     if declared is None:
         return None
-    usual_ms = declared.median.value_ms
+    usual_ms = declared.histogram.median_ms
     best: tuple[float, float] | None = None
     chosen: str | None = None
     for target_id in declared.target_ids:
@@ -89,7 +90,20 @@
             expected_ms = expected_latency_ms(
                 record.recent, usual_ms, settings.slow_half_life_ms, now_ms
             )
-            slow_ms = expected_ms - usual_ms if expected_ms > _SLOW_RATIO * usual_ms else 0.0
+            slow_ms = max(expected_ms - usual_ms, _suspicion_ms(state, record, usual_ms, now_ms))
+            if slow_ms < (_SLOW_RATIO - 1.0) * usual_ms:
+                slow_ms = 0.0
             busy_ms = usual_ms * record.in_flight / record.slots
             near = record.target.availability_zone == settings.availability_zone
             return slow_ms + busy_ms + (0.0 if near else settings.zone_distance_ms)
+
+
+def _suspicion_ms(
+    state: TargetsState, record: TargetRecord, usual_ms: float, now_ms: float
+) -> float:
+    """Return what to add for attempts overdue in a row; it halves until the next trial."""
+    if not is_suspect(record):
+        return 0.0
+    doublings = min(record.overdue, _MAX_DOUBLINGS)
+    halvings = (now_ms - record.overdue_at_ms) / state.settings.slow_half_life_ms
+    return usual_ms * 2.0 ** (doublings - halvings)
--- a/savoryarch/targets/_latency.py
+++ b/savoryarch/targets/_latency.py
@@ -1,53 +1,91 @@
-"""Latency estimates that cost a few numbers each."""
+"""Latency estimates that stay small and follow changes."""
 
 import math
 from dataclasses import dataclass
 
-_MIN_STEP = 0.03
-_MIN_LATENCY_MS = 0.01
+_FIRST_BUCKET_MS = 0.1
+_BUCKET_RATIO = 1.1
+_BUCKETS = 120
+_WINDOW = 512  # samples after which the older ones count half
+_REFRESH = 8  # samples between computations of the quantiles
+_LOG_RATIO = math.log(_BUCKET_RATIO)
+
+MEDIAN_SHARE = 0.5
+TAIL_SHARE = 0.952  # leaves a little of the usual budget of 5% for retries
 
 
 @dataclass(frozen=True, slots=True)
-class Quantile:
-    """A running quantile that follows changes; see `add_to_quantile`.
+class LatencyHistogram:
+    """Latencies of the recent past in buckets of equal ratio.
 
     Parameters
     ----------
-    share : float
-        Which quantile, 0 to 1.
-    value_ms : float
-        The estimate; 0 before the first sample.
+    counts : tuple of int
+        Samples per bucket.
+    in_window : int
+        Sum of `counts`.
     samples : int
-        How many samples it has seen.
+        Samples seen since the start.
+    median_ms, tail_ms : float
+        Quantiles of the last computation; 0 before the first sample.
     """
 
-    share: float
-    value_ms: float = 0.0
+    counts: tuple[int, ...] = (0,) * _BUCKETS
+    in_window: int = 0
     samples: int = 0
+    median_ms: float = 0.0
+    tail_ms: float = 0.0
 
 
-def add_to_quantile(quantile: Quantile, sample_ms: float, *, censored: bool = False) -> Quantile:
-    """Move the estimate by a step in the logarithm of the latency.
+def add_latency(
+    histogram: LatencyHistogram, sample_ms: float, *, censored: bool = False
+) -> LatencyHistogram:
+    """Add a sample.
 
     Parameters
     ----------
-    quantile : Quantile
-        The estimate so far.
+    histogram : LatencyHistogram
+        The samples so far.
     sample_ms : float
         A latency; or a lower bound of one, if `censored`.
     censored : bool
-        Whether the reply was not waited for. A bound below the estimate says nothing.
+        Whether the reply was not waited for. A bound below the tail says nothing.
     """
-    sample_ms = max(sample_ms, _MIN_LATENCY_MS)
-    if censored and sample_ms < quantile.value_ms:
-        return quantile
-    if quantile.samples == 0:
-        return Quantile(quantile.share, sample_ms, 1)
-    step = max(_MIN_STEP, 1.0 / (1 + quantile.samples))
-    above = sample_ms > quantile.value_ms
-    move = quantile.share if above else quantile.share - 1.0
-    value_ms = quantile.value_ms * math.exp(step * move)
-    return Quantile(quantile.share, value_ms, quantile.samples + 1)
+    if censored and sample_ms < histogram.tail_ms:
+        return histogram
+    bucket = _bucket_of(sample_ms)
+    counts = (
+        *histogram.counts[:bucket],
+        histogram.counts[bucket] + 1,
+        *histogram.counts[bucket + 1 :],
+    )
+    in_window, samples = histogram.in_window + 1, histogram.samples + 1
+    if in_window >= _WINDOW:
+        counts = tuple(count // 2 for count in counts)
+        in_window = sum(counts)
+    median_ms, tail_ms = histogram.median_ms, histogram.tail_ms
+    if samples <= _REFRESH or samples % _REFRESH == 0:
+        median_ms = _quantile_ms(counts, in_window, MEDIAN_SHARE)
+        tail_ms = _quantile_ms(counts, in_window, TAIL_SHARE)
+    return LatencyHistogram(counts, in_window, samples, median_ms, tail_ms)
+
+
+def _bucket_of(sample_ms: float) -> int:
+    if sample_ms <= _FIRST_BUCKET_MS:
+        return 0
+    return min(_BUCKETS - 1, 1 + int(math.log(sample_ms / _FIRST_BUCKET_MS) / _LOG_RATIO))
+
+
+def _quantile_ms(counts: tuple[int, ...], in_window: int, share: float) -> float:
+    """Return the quantile, interpolated within its bucket."""
+    above = in_window * (1.0 - share)
+    for bucket in range(_BUCKETS - 1, -1, -1):
+        count = counts[bucket]
+        if count > above:
+            upper_ms: float = _FIRST_BUCKET_MS * _BUCKET_RATIO**bucket
+            return upper_ms * math.exp(-_LOG_RATIO * above / count)
+        above -= count
+    return _FIRST_BUCKET_MS
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/targets/_limits.py
+++ b/savoryarch/targets/_limits.py
@@ -7,6 +7,7 @@
 
 SHED_BACK_OFF = 0.5
 MIN_LIMIT = 1.0
+SUSPECT_OVERDUE = 2  # one overdue attempt in a row is usual, two are rare
 RESERVED_CONNECTIONS = 1  # for probes and cancellations
 
 
@@ -24,11 +25,16 @@
     return max(MIN_LIMIT, float(slots // live_instances))
 
 
+def is_suspect(record: TargetRecord) -> bool:
+    """Return whether the target is slow or frozen, by attempts overdue in a row."""
+    return record.overdue >= SUSPECT_OVERDUE
+
+
 def in_flight_limit(record: TargetRecord, now_ms: float) -> int:
     """Return how many attempts the target may have in flight from this instance now."""
     if now_ms < record.paused_until_at_ms:
         return 0
-    if now_ms < record.warm_at_ms:
+    if now_ms < record.warm_at_ms or is_suspect(record):
         return 1
     connections = max(1, record.max_connections - RESERVED_CONNECTIONS)
     return min(int(record.limit), record.slots, connections)
--- a/savoryarch/targets/_state.py
+++ b/savoryarch/targets/_state.py
@@ -5,12 +5,9 @@
 from immutables import Map
 
 from savoryarch.model import Service, SnapshotId, Target
-from savoryarch.targets._latency import Quantile, RecentLatency
+from savoryarch.targets._latency import LatencyHistogram, RecentLatency
 from savoryarch.targets._settings import TargetsSettings
 
-MEDIAN_SHARE = 0.5
-TAIL_SHARE = 0.955  # a little below the usual budget of 5% extra requests
-
 
 @dataclass(frozen=True, slots=True)
 class TargetRecord:
@@ -42,6 +39,10 @@
         When the last attempt began, and how many have begun.
     recent : RecentLatency
         Of its replies.
+    overdue : int
+        Times that its attempts were found overdue since a timely reply.
+    overdue_at_ms : float
+        The last such time.
     snapshots : frozenset of SnapshotId
         What it is believed to serve.
     replied_at_ms : float
@@ -65,6 +66,8 @@
     begun_at_ms: float = float("-inf")
     begun: int = 0
     recent: RecentLatency = RecentLatency()
+    overdue: int = 0
+    overdue_at_ms: float = float("-inf")
     snapshots: frozenset[SnapshotId] = frozenset()
     replied_at_ms: float = float("-inf")
     denied: SnapshotId | None = None
@@ -79,15 +82,14 @@
     ----------
     target_ids : tuple of str
         Its replicas.
-    median, tail : Quantile
-        Of the latency of its targets together.
+    histogram : LatencyHistogram
+        Latencies of its targets together.
     served : Map
         Live targets per snapshot.
     """
 
     target_ids: tuple[str, ...]
-    median: Quantile = Quantile(MEDIAN_SHARE)
-    tail: Quantile = Quantile(TAIL_SHARE)
+    histogram: LatencyHistogram = LatencyHistogram()
     served: Map[SnapshotId, int] = field(default_factory=Map)
 
 
