--- /dev/null
+++ b/savoryarch/settings/_load.py
@@ -0,0 +1,106 @@
+"""Reads the settings file of one instance."""
+
+from dataclasses import dataclass, fields, replace
+from pathlib import Path
+from typing import Any, get_type_hints
+
+from savoryarch.configuration import ConfigurationSettings
+from savoryarch.exceptions import FindingsError
+from savoryarch.search import SearchSettings
+from savoryarch.settings._sections import (
+    CallersSettings,
+    InstanceSettings,
+    LogSettings,
+    OperatorsSettings,
+    PeersSettings,
+    PlatformSettings,
+)
+from savoryarch.targets import TargetsSettings
+from savoryarch.utils import (
+    Finding,
+    IniDocument,
+    IniSection,
+    Place,
+    read_ini,
+    read_section,
+    suggest,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """The settings of one instance; each field is a section of the file.
+
+    A new section is one line here; its fields are declared by the subject that uses them.
+    """
+
+    instance: InstanceSettings
+    callers: CallersSettings
+    operators: OperatorsSettings
+    peers: PeersSettings
+    platform: PlatformSettings
+    log: LogSettings
+    targets: TargetsSettings
+    search: SearchSettings
+    configuration: ConfigurationSettings
+
+
+SECTIONS: dict[str, type] = {name: kind for name, kind in get_type_hints(Settings).items()}
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Load a settings file.
+
+    Raises
+    ------
+    FindingsError
+        With everything that is wrong in the file, or that it cannot be read.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise FindingsError((Finding(Place(str(path)), f"cannot be read: {error}"),)) from None
+    settings, findings = parse_settings(text, str(path))
+    if settings is None:
+        raise FindingsError(findings)
+    return settings
+
+
+def parse_settings(text: str, source: str) -> tuple[Settings | None, tuple[Finding, ...]]:
+    """Parse the text of a settings file.
+
+    Returns
+    -------
+    settings : Settings or None
+        None if there are findings.
+    findings : tuple of Finding
+        Everything that is wrong, each with its file, line and key.
+    """
+    document, syntax = read_ini(text, source)
+    if syntax:
+        return None, syntax
+    findings: list[Finding] = []
+    values: dict[str, Any] = {}
+    for section in document.sections:
+        if section.name not in SECTIONS:
+            hint = suggest(section.name, tuple(SECTIONS))
+            findings.append(Finding(section.place, f"section [{section.name}] is unknown{hint}"))
+    for name, kind in SECTIONS.items():
+        if name != "instance" and not values["instance"] and not document.get(name):
+            continue
+        section = document.get(name) or IniSection(name, Place(source, 0, name), ())
+        values[name], more = read_section(_inherit(section, kind, document), kind)
+        findings += more
+    return (None if findings else Settings(**values)), tuple(findings)
+
+
+def _inherit(section: IniSection, kind: type, document: IniDocument) -> IniSection:
+    """Take what a section requires and does not give from [instance], which knows the zone."""
+    instance = document.get("instance")
+    if instance is None or section.name == "instance":
+        return section
+    names = {item.name for item in fields(kind)}
+    inherited = tuple(
+        entry for entry in instance.entries if entry.key in names and section.get(entry.key) is None
+    )
+    return replace(section, entries=section.entries + inherited)
