Prove the signs and limits of targets by tables

Cause: which signs stop new work, which bring a target back, and how the limits react to lying reports was only in the code. Change: tables of signs and limits; an instance whose connection share is 0 sends nothing; a connection that was not free is no sign.

--- a/savoryarch/targets/_limits.py
+++ b/savoryarch/targets/_limits.py
@@ -35,9 +35,14 @@
     if now_ms < record.paused_until_at_ms:
         return 0
     if now_ms < record.warm_at_ms or is_suspect(record):
-        return 1
-    connections = max(1, record.max_connections - RESERVED_CONNECTIONS)
-    return min(int(record.limit), record.slots, connections)
+        return min(1, record.max_connections)
+    return min(int(record.limit), record.slots, _usable_connections(record))
+
+
+def _usable_connections(record: TargetRecord) -> int:
+    if record.max_connections <= RESERVED_CONNECTIONS:
+        return record.max_connections
+    return record.max_connections - RESERVED_CONNECTIONS
 
 
 def raise_limit(record: TargetRecord) -> TargetRecord:
--- /dev/null
+++ b/savoryarch/targets/tests/test_limits.py
@@ -0,0 +1,138 @@
+"""How much of a target one instance uses, whatever the target reports."""
+
+import math
+
+import pytest
+
+from savoryarch.model import AttemptEnded, PartReturned, Shed, Sign, TargetSigned
+from savoryarch.targets import (
+    LeastExpectedLatency,
+    RoundRobin,
+    TargetsSettings,
+    begin_attempt,
+    connection_share,
+    end_attempt,
+    in_flight_limit,
+    note_overdue,
+)
+from savoryarch.targets.tests.test_signs import (
+    ANSWERED,
+    PROBE_DRAINING,
+    REFUSED,
+    SNAPSHOT,
+    chosen,
+    make_state,
+    offer,
+    play,
+)
+
+RETURNED = PartReturned(SNAPSHOT, b"[]", True)
+
+
+def live_state(**fields):
+    return offer(make_state(**fields), ANSWERED, 1.0)[0]
+
+
+def run_attempts(state, replies, load=None, latency_ms=5.0, start_ms=10.0):
+    """Let attempts begin as far as there is room, and end them with the replies in turn."""
+    now_ms = start_ms
+    for reply in replies:
+        while chosen(state, now_ms) is not None:
+            state = begin_attempt(state, "t", now_ms)
+        now_ms += latency_ms
+        if state.records["t"].in_flight:
+            ended = AttemptEnded("a", "t", reply, (SNAPSHOT,), load)
+            state = end_attempt(state, ended, latency_ms, now_ms)
+        assert state.records["t"].in_flight <= state.records["t"].slots
+    return state
+
+
+@pytest.mark.parametrize(
+    ("connection_limit", "entry_instances", "surge_instances", "share"),
+    [(25, 4, 1, 5), (110, 4, 1, 22), (40, 4, 1, 8), (25, 4, 0, 6), (25, 740, 1, 0), (25, 25, 0, 1)],
+)
+def test_connection_shares_stay_within_the_limit(
+    connection_limit, entry_instances, surge_instances, share
+):
+    settings = TargetsSettings(
+        "zone-a", entry_instances=entry_instances, surge_instances=surge_instances
+    )
+    assert connection_share(connection_limit, settings) == share
+    assert share * (entry_instances + surge_instances) <= connection_limit
+
+
+@pytest.mark.parametrize(
+    ("slots", "connection_limit", "limit_after"),
+    [(2, 25, 2), (5, 40, 5), (4, 110, 4), (5, 15, 2), (5, 10, 1), (5, 5, 1), (5, 4, 0)],
+)
+def test_the_limit_grows_to_what_slots_and_connections_allow(slots, connection_limit, limit_after):
+    state = live_state(slots=slots, connection_limit=connection_limit)
+    state = run_attempts(state, [RETURNED] * 40)
+    assert in_flight_limit(state.records["t"], 1000.0) == limit_after
+
+
+@pytest.mark.parametrize("load", [None, 0.0, 1.0, -1.0, 99.0, math.nan, math.inf])
+@pytest.mark.parametrize(
+    ("replies", "limit_after"), [([RETURNED] * 40, 4), ([RETURNED] * 40 + [Shed(5.0)] * 3, 1)]
+)
+def test_reported_load_changes_nothing(load, replies, limit_after):
+    state = run_attempts(live_state(slots=4), replies, load)
+    assert in_flight_limit(state.records["t"], 10_000.0) == limit_after
+
+
+@pytest.mark.parametrize(
+    ("retry_after_ms", "paused_ms"), [(None, 20.0), (50.0, 50.0), (0.0, 0.0), (-9.0, 0.0)]
+)
+def test_a_shed_pauses_the_target(retry_after_ms, paused_ms):
+    state = begin_attempt(live_state(), "t", 10.0)
+    state = end_attempt(state, AttemptEnded("a", "t", Shed(retry_after_ms)), 1.0, 11.0)
+    assert chosen(state, 11.0 + paused_ms) == "t"
+    assert paused_ms == 0.0 or chosen(state, 10.9 + paused_ms) is None
+
+
+@pytest.mark.parametrize(
+    "back",
+    [
+        [(10_000.0, REFUSED), (10_100.0, ANSWERED)],
+        [(10_000.0, PROBE_DRAINING), (16_000.0, ANSWERED)],
+    ],
+)
+def test_a_target_that_returns_is_warmed_one_request_at_a_time(back):
+    state = run_attempts(live_state(slots=4), [RETURNED] * 40)
+    while state.records["t"].in_flight:
+        state = end_attempt(state, AttemptEnded("a", "t", RETURNED), 5.0, 300.0)
+    state, _ = play(state, back)
+    now_ms = back[-1][0] + 1.0
+    state = begin_attempt(state, chosen(state, now_ms), now_ms)
+    assert chosen(state, now_ms) is None
+    assert in_flight_limit(state.records["t"], now_ms + 2000.0) == 1
+
+
+def teach(state, target_id, latency_ms, count=30, now_ms=100.0):
+    for _ in range(count):
+        state = begin_attempt(state, target_id, now_ms - latency_ms)
+        ended = AttemptEnded("a", target_id, RETURNED, (SNAPSHOT,))
+        state = end_attempt(state, ended, latency_ms, now_ms)
+    return state
+
+
+@pytest.mark.parametrize(
+    ("choice", "overdue", "after_ms", "expected"),
+    [
+        (LeastExpectedLatency(), 0, 1.0, "t"),
+        (LeastExpectedLatency(), 1, 1.0, "t"),  # one overdue attempt is usual
+        (LeastExpectedLatency(), 2, 1.0, "u"),
+        (LeastExpectedLatency(), 5, 3000.0, "u"),
+        (LeastExpectedLatency(), 5, 9000.0, "t"),  # tried again after a time
+        (RoundRobin(), 5, 1.0, "t"),
+    ],
+)
+def test_new_work_is_steered_away_from_a_slow_target(choice, overdue, after_ms, expected):
+    state = make_state(targets=("t", "u"), choice=choice)
+    for target_id in ("t", "u"):
+        signed = TargetSigned(target_id, Sign.PROBE_ANSWERED, (SNAPSHOT,))
+        state = teach(offer(state, signed, 1.0)[0], target_id, 5.0, now_ms=100.0)
+    state = end_attempt(begin_attempt(state, "u", 101.0), AttemptEnded("a", "u", RETURNED), 5, 102)
+    for _ in range(overdue):
+        state = note_overdue(state, "t", 8.0, 110.0)
+    assert chosen(state, 110.0 + after_ms) == expected
--- /dev/null
+++ b/savoryarch/targets/tests/test_signs.py
@@ -0,0 +1,186 @@
+"""Which signs of a target's state stop new work, and which let it return."""
+
+import pytest
+from immutables import Map
+
+from savoryarch.model import (
+    AttemptEnded,
+    ConnectionLost,
+    Declarations,
+    DeclarationsInForce,
+    Draining,
+    InstanceRole,
+    InstancesListed,
+    ListedInstance,
+    ListedState,
+    NotSent,
+    OpenConnections,
+    PartReturned,
+    ProbeTarget,
+    Service,
+    Sign,
+    SnapshotId,
+    Target,
+    TargetSigned,
+    TimerFired,
+)
+from savoryarch.targets import (
+    TargetsSettings,
+    begin_attempt,
+    choose_target,
+    decide_targets,
+    end_attempt,
+    make_targets_state,
+)
+
+SNAPSHOT = SnapshotId(1, 1)
+ANSWERED = TargetSigned("t", Sign.PROBE_ANSWERED, (SNAPSHOT,))
+CONNECTED = TargetSigned("t", Sign.CONNECTED)
+PROBE_DRAINING = TargetSigned("t", Sign.PROBE_DRAINING)
+REFUSED = TargetSigned("t", Sign.CONNECTION_REFUSED)
+CLOSED = TargetSigned("t", Sign.CONNECTION_CLOSED)
+PROBE_FAILED = TargetSigned("t", Sign.PROBE_FAILED)
+
+
+def listed(target_id="t", state=ListedState.LIVE):
+    row = ListedInstance(target_id, InstanceRole.TARGET, "zone-a", "127.0.0.1", 1, state)
+    return InstancesListed((row,))
+
+
+LISTED, LEAVING = listed(), listed(state=ListedState.LEAVING)
+OTHER_LISTED, NOTHING_LISTED = listed("other"), InstancesListed(())
+
+
+def ended(reply):
+    return AttemptEnded("search/1", "t", reply)
+
+
+def make_state(targets=("t",), slots=4, connection_limit=50, **fields):
+    service = Service(
+        "balcao-00",
+        "balcao",
+        slots,
+        connection_limit,
+        tuple(Target(name, "balcao-00", "zone-a", "127.0.0.1", 1) for name in targets),
+    )
+    state = make_targets_state(TargetsSettings("zone-a", **fields))
+    declared = DeclarationsInForce(Declarations(1, Map({"balcao-00": service})))
+    return decide_targets(state, declared, 0.0).state
+
+
+def offer(state, event, now_ms):
+    """Offer one event; an `AttemptEnded` is that of an attempt which took 5 ms."""
+    if isinstance(event, AttemptEnded):
+        state = begin_attempt(state, event.target_id, now_ms - 5.0)
+        return end_attempt(state, event, 5.0, now_ms), ()
+    decided = decide_targets(state, event, now_ms)
+    return decided.state, decided.effects
+
+
+def play(state, events):
+    effects = ()
+    for now_ms, event in events:
+        state, effects = offer(state, event, now_ms)
+    return state, effects
+
+
+def chosen(state, now_ms, exclude=frozenset()):
+    return choose_target(state, "balcao-00", exclude=exclude, snapshot=SNAPSHOT, now_ms=now_ms)
+
+
+@pytest.mark.parametrize(
+    ("events", "gets_work"),
+    [
+        ([], False),
+        ([(1.0, ANSWERED)], True),
+        # every sign of draining stops new work at once
+        ([(1.0, ANSWERED), (10_000.0, PROBE_DRAINING)], False),
+        ([(1.0, ANSWERED), (10_000.0, LEAVING)], False),
+        ([(1.0, ANSWERED), (10_000.0, ended(Draining()))], False),
+        ([(1.0, ANSWERED), (10_000.0, CLOSED)], False),
+        ([(1.0, ANSWERED), (10_000.0, ended(ConnectionLost("reset")))], False),
+        ([(1.0, ANSWERED), (10_000.0, REFUSED)], False),
+        # signs that may be stale do not bring a draining target back
+        ([(1.0, ANSWERED), (10_000.0, ended(Draining())), (10_100.0, LISTED)], False),
+        ([(1.0, ANSWERED), (10_000.0, ended(Draining())), (90_000.0, LISTED)], False),
+        ([(1.0, ANSWERED), (10_000.0, ended(Draining())), (10_100.0, ANSWERED)], False),
+        ([(1.0, ANSWERED), (10_000.0, ended(Draining())), (90_000.0, CONNECTED)], False),
+        ([(1.0, ANSWERED), (10_000.0, LEAVING), (10_100.0, LISTED), (10_200.0, ANSWERED)], False),
+        ([(1.0, ANSWERED), (10_000.0, LEAVING), (14_000.0, LEAVING), (16_000.0, ANSWERED)], False),
+        # a sign newer than any lag does
+        ([(1.0, ANSWERED), (10_000.0, ended(Draining())), (15_100.0, ANSWERED)], True),
+        ([(1.0, ANSWERED), (10_000.0, LEAVING), (14_000.0, LEAVING), (19_100.0, ANSWERED)], True),
+        # a closed connection is a doubt that one answer ends
+        ([(1.0, ANSWERED), (10_000.0, CLOSED), (10_001.0, ANSWERED)], True),
+        ([(1.0, ANSWERED), (10_000.0, CLOSED), (10_001.0, CONNECTED)], True),
+        ([(1.0, ANSWERED), (10_000.0, REFUSED), (10_001.0, LISTED)], False),
+        ([(1.0, ANSWERED), (10_000.0, REFUSED), (10_001.0, ANSWERED)], True),
+        # a list that is empty or lacks the target proves nothing
+        ([(1.0, ANSWERED), (2.0, LISTED), (10_000.0, NOTHING_LISTED)], True),
+        ([(1.0, ANSWERED), (2.0, LISTED), (10_000.0, OTHER_LISTED)], True),
+        # a failed probe counts only when replies do not say otherwise
+        ([(1.0, ANSWERED), (10_000.0, PROBE_FAILED)], False),
+        (
+            [
+                (1.0, ANSWERED),
+                (9_999.0, ended(PartReturned(SNAPSHOT, b"[]", True))),
+                (10_000.0, PROBE_FAILED),
+            ],
+            True,
+        ),
+        # no connection was free: says nothing of the target
+        ([(1.0, ANSWERED), (10_000.0, ended(NotSent("busy")))], True),
+    ],
+)
+def test_signs(events, gets_work):
+    state, _ = play(make_state(), events)
+    now_ms = events[-1][0] if events else 0.0
+    assert (chosen(state, now_ms) == "t") is gets_work
+
+
+@pytest.mark.parametrize(
+    ("events", "effect"),
+    [
+        ([(1.0, ANSWERED), (9.0, PROBE_DRAINING)], OpenConnections("t", 0)),
+        ([(1.0, PROBE_DRAINING), (9000.0, ANSWERED)], OpenConnections("t", 1)),
+        ([(1.0, ANSWERED), (9.0, CLOSED)], ProbeTarget("t")),
+        ([(1.0, ANSWERED), (2.0, LISTED), (9.0, OTHER_LISTED)], ProbeTarget("t")),
+        ([(1.0, REFUSED), (501.0, TimerFired("targets/probe"))], ProbeTarget("t")),
+        ([(1.0, ANSWERED), (5001.0, TimerFired("targets/probe"))], ProbeTarget("t")),
+    ],
+)
+def test_what_is_done_about_a_sign(events, effect):
+    _, effects = play(make_state(), events)
+    assert effect in effects
+
+
+def test_a_live_target_that_was_heard_of_lately_is_not_probed():
+    _, effects = play(make_state(), [(1.0, ANSWERED), (501.0, TimerFired("targets/probe"))])
+    assert ProbeTarget("t") not in effects
+
+
+@pytest.mark.parametrize(
+    ("events", "served"),
+    [
+        ([(1.0, ANSWERED)], True),
+        # the reply of the target itself outdoes a lagging health endpoint
+        ([(1.0, ANSWERED), (2.0, AttemptEnded("a", "t", Draining(), (SnapshotId(1, 9),)))], False),
+        (
+            [
+                (1.0, AttemptEnded("a", "t", NotSent(""), (SnapshotId(1, 9),))),
+                (2.0, ANSWERED),
+            ],
+            False,
+        ),
+        (
+            [
+                (1.0, AttemptEnded("a", "t", NotSent(""), (SnapshotId(1, 9),))),
+                (9000.0, ANSWERED),
+            ],
+            True,
+        ),
+    ],
+)
+def test_what_a_target_is_believed_to_serve(events, served):
+    state, _ = play(make_state(), events)
+    assert (SNAPSHOT in state.records["t"].snapshots) is served
