--- /dev/null
+++ b/savoryarch_bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool."""
--- a/savoryarch_standins/harness/_cluster.py
+++ b/savoryarch_standins/harness/_cluster.py
@@ -123,7 +123,7 @@
         operators = next(iter(self.entries.values())).address("operators")
         arguments = [sys.executable, "-m", "savoryarch", "apply", str(path)]
         subprocess.run(
-            [*arguments, "--url", f"http://{operators}"], check=True, timeout=APPLY_TIMEOUT_S
+            [*arguments, "--operators", f"http://{operators}"], check=True, timeout=APPLY_TIMEOUT_S
         )
 
     def services_text(self) -> str:
--- a/savoryarch_standins/target/_server.py
+++ b/savoryarch_standins/target/_server.py
@@ -137,7 +137,8 @@
         headers.setRawHeaders("content-type", ["application/json"])
         headers.setRawHeaders("content-length", [str(len(body))])
         headers.setRawHeaders("x-snapshots", [self.state.behaviour.snapshots])
-        headers.setRawHeaders("x-request-id", [request_id])
+        echoed = request_id or request.getHeader("x-request-id") or ""
+        headers.setRawHeaders("x-request-id", [echoed])
         reported = report_load(self.state, self._clock.now_ms())
         self.state = reported.state
         if reported.value:
@@ -189,6 +190,8 @@
             case "DELETE", "v1", "requests", request_id:
                 self._server.feed(CancelAsked(request_id))
                 request.setResponseCode(204)
+                echoed = request.getHeader("x-request-id") or ""
+                request.responseHeaders.setRawHeaders("x-request-id", [echoed])
                 request.finish()
             case "GET", "health":
                 self._server.health(request)
