Let searches pass quarantine and admission

Cause: every search started at once, and one that crashes targets was resent to the next replica. Change: a search is judged by quarantine and offered to admission before it fans out; crashes are blamed and told to the peers; a suspect waits for its turn without holding up the shards behind it.

--- a/savoryarch/search/_attempt_chart.py
+++ b/savoryarch/search/_attempt_chart.py
@@ -18,10 +18,12 @@
     Part,
     PartReturned,
     ProbeTarget,
+    RefusalReason,
     Shed,
     SnapshotNotServed,
     TimedOut,
 )
+from savoryarch.search._guard import quarantined_for_ms
 from savoryarch.search._query_chart import (
     conclude,
     give_up,
@@ -52,6 +54,8 @@
 
 Action = Callable[[Turn, Attempt], Turn]
 
+_WAITED = "waited"
+
 
 def step_attempt(turn: Turn, attempt: Attempt, event: str) -> Turn:
     """Step one attempt of the query at hand through its chart and carry out the actions."""
@@ -154,6 +158,8 @@
     reason = failure_reason(ended.reply)
     turn = _note_failure(turn, attempt, ended, reason)
     shard = turn.query.pending[attempt.service]
+    if quarantined_for_ms(turn) is not None:
+        return _refuse_quarantined(turn)
     if shard.attempt_ids:
         return turn
     due_at_ms = turn.query.deadline_at_ms - turn.state.settings.answer_margin_ms
@@ -164,6 +170,16 @@
     return conclude(_retry(turn, attempt.service, shard, reason))
 
 
+def _refuse_quarantined(turn: Turn) -> Turn:
+    """Refuse a query that was found to crash targets while it ran."""
+    query = replace(
+        turn.query,
+        refusal=RefusalReason.QUARANTINED,
+        retry_after_ms=quarantined_for_ms(turn),
+    )
+    return step_query(replace(turn, query=query), "fell_short")
+
+
 def _note_failure(turn: Turn, attempt: Attempt, ended: AttemptEnded, reason: LeftOutReason) -> Turn:
     shard = turn.query.pending[attempt.service]
     rest = tuple(item for item in shard.attempt_ids if item != attempt.attempt_id)
@@ -180,6 +196,8 @@
         query = replace(turn.query, may_have_run=turn.query.may_have_run - 1)
         turn = replace(turn, query=query)
     match ended.reply:
+        case Shed():
+            return replace(turn, query=replace(turn.query, sheds=turn.query.sheds + 1))
         case ConnectionLost() | NotSent():
             return emit(turn, ProbeTarget(attempt.target_id))
         case MalformedReply(detail=detail):
@@ -220,7 +238,8 @@
 
 
 def _send_retry(turn: Turn, service: str, shard: Shard, target_id: str, reason: str) -> Turn:
-    shard = replace(shard, retries=shard.retries + 1)
+    if reason != _WAITED:
+        shard = replace(shard, retries=shard.retries + 1)
     turn = count_retry(turn, reason)
     return send_attempt(turn, service, shard, target_id, Purpose.RETRY)
 
@@ -247,6 +266,8 @@
     Waiting for the pause after a shed is paid for by the wait; other retries are paid for here.
     """
     shard = turn.query.pending[service]
+    if quarantined_for_ms(turn) is not None:
+        return _refuse_quarantined(turn)
     if not can_serve(turn.targets, service, shard.tried, turn.query.snapshot):
         return conclude(give_up(turn, service, shard))
     target_id = choose(turn, service, shard.tried)
@@ -255,7 +276,7 @@
     if shard.failure is None:
         return send_attempt(turn, service, shard, target_id, Purpose.FIRST)
     if shard.failure is LeftOutReason.REFUSED:
-        return _send_retry(turn, service, shard, target_id, "waited")
+        return _send_retry(turn, service, shard, target_id, _WAITED)
     paid = _pay_retry(turn, shard)
     if paid is None:
         return conclude(leave_out(turn, service, shard.failure))
--- a/savoryarch/search/_decide.py
+++ b/savoryarch/search/_decide.py
@@ -5,6 +5,7 @@
 
 from immutables import Map
 
+from savoryarch.admission import take
 from savoryarch.model import (
     AttemptEnded,
     CallerGone,
@@ -12,18 +13,30 @@
     Declarations,
     DeclarationsInForce,
     NewWorkEnded,
+    PeerSaid,
+    PeersChanged,
     RefusalReason,
     Search,
     SearchAsked,
     SetTimer,
+    TellPeer,
     TimerFired,
 )
+from savoryarch.quarantine import declared, fingerprint_of, hear_peer
+from savoryarch.search._admit import (
+    ADMISSION_TIMER,
+    offer_query,
+    release,
+    start_query,
+    turn_away,
+)
 from savoryarch.search._attempt_chart import (
     check_slowness,
     is_whole_part,
     resume_waiting,
     step_attempt,
 )
+from savoryarch.search._guard import is_suspect, note_reply, quarantined_for_ms
 from savoryarch.search._query_chart import (
     DUE_TIMER,
     EARLY_TIMER,
@@ -32,10 +45,9 @@
     step_query,
 )
 from savoryarch.search._sending import ROOM_TIMER, SLOW_TIMER
-from savoryarch.search._snapshots import choose_snapshot
 from savoryarch.search._state import Attempt, Query, SearchState
 from savoryarch.search._turn import Turn, end_turn
-from savoryarch.targets import TargetsState, end_attempt
+from savoryarch.targets import TargetsState, end_attempt, has_room
 
 DecidedSearch = DecidedOnTargets[SearchState, TargetsState]
 
@@ -64,6 +76,15 @@
         Among its effects is exactly one `AnswerSearch` for each `SearchAsked`, unless the caller
         has gone.
     """
+    decided = _decide(state, targets, event, now_ms)
+    if not decided.state.admission.waiting:
+        return decided
+    return _admit_waiting(decided, now_ms)
+
+
+def _decide(
+    state: SearchState, targets: TargetsState, event: object, now_ms: float
+) -> DecidedSearch:
     match event:
         case SearchAsked():
             return _ask(state, targets, event, now_ms)
@@ -77,30 +98,40 @@
             return DecidedOnTargets(
                 replace(state, declarations=declarations, chosen=Map()), targets
             )
+        case PeerSaid(message=message):
+            heard = hear_peer(state.quarantine, message, now_ms)
+            return DecidedOnTargets(replace(state, quarantine=heard.state), targets, heard.effects)
+        case PeersChanged(live=live):
+            return _meet_peers(state, targets, frozenset(live), now_ms)
         case NewWorkEnded():
             return DecidedOnTargets(replace(state, stopping=True), targets)
         case _:
             return DecidedOnTargets(state, targets)
 
 
+def _meet_peers(
+    state: SearchState, targets: TargetsState, live: frozenset[str], now_ms: float
+) -> DecidedSearch:
+    """Tell new peers what is quarantined."""
+    messages = declared(state.quarantine, now_ms)
+    effects = tuple(
+        TellPeer(peer_id, message) for peer_id in sorted(live - state.peers) for message in messages
+    )
+    return DecidedOnTargets(replace(state, peers=live), targets, effects)
+
+
 def _ask(
     state: SearchState, targets: TargetsState, asked: SearchAsked, now_ms: float
 ) -> DecidedSearch:
     search = state.declarations.searches.get(asked.search)
+    turn = Turn(state, targets, _make_query(asked, search or _ANY_SEARCH, now_ms), now_ms)
     reason = _turn_away(state.declarations, search, stopping=state.stopping)
-    query = _make_query(asked, search or _ANY_SEARCH, now_ms)
-    turn = Turn(state, targets, query, now_ms)
-    if reason is None and search is not None:
-        state, snapshot = choose_snapshot(state, targets, search)
-        turn = replace(turn, state=state, query=replace(query, snapshot=snapshot))
-        if snapshot is None:
-            reason = RefusalReason.NO_SNAPSHOT
-        elif query.deadline_at_ms - now_ms <= state.settings.answer_margin_ms:
-            reason = RefusalReason.DEADLINE_TOO_SHORT
     if reason is not None:
-        turn = replace(turn, query=replace(turn.query, refusal=reason))
-        return _end(step_query(turn, "turned_away"))
-    return _end(step_query(turn, "admitted"))
+        return _end(turn_away(turn, reason))
+    left_ms = quarantined_for_ms(turn)
+    if left_ms is not None:
+        return _end(turn_away(turn, RefusalReason.QUARANTINED, left_ms))
+    return _end(offer_query(turn))
 
 
 def _turn_away(
@@ -125,12 +156,50 @@
         asked_at_ms=now_ms,
         deadline_at_ms=deadline_at_ms,
         priority=asked.priority or search.priority,
+        fingerprint=fingerprint_of(search.name, asked.query),
         life="asked",
     )
 
 
 def _end(turn: Turn) -> DecidedSearch:
-    return end_turn(turn, keep=not is_finished(turn))
+    """Put the query back; if it has ended, give its place to those that wait for admission."""
+    if not is_finished(turn):
+        return end_turn(turn, keep=True)
+    turn = replace(turn, state=release(turn.state, turn.query, turn.now_ms))
+    return end_turn(turn, keep=False)
+
+
+def _admit_waiting(decided: DecidedSearch, now_ms: float) -> DecidedSearch:
+    """Start the queries that have room now, and refuse those that have waited too long."""
+    while decided.state.admission.waiting:
+        taken = take(decided.state.admission, now_ms)
+        decided = replace(decided, state=replace(decided.state, admission=taken.state))
+        for ticket in taken.admitted:
+            decided = _then(decided, ticket.request_id, now_ms, start_query)
+        for ticket in taken.expired:
+            decided = _then(decided, ticket.request_id, now_ms, _expire)
+        if not taken.admitted and not taken.expired:
+            return _set_wake(decided, taken.wake_at_ms)
+    return decided
+
+
+def _then(
+    decided: DecidedSearch, request_id: str, now_ms: float, act: Callable[[Turn], Turn]
+) -> DecidedSearch:
+    after = _on_query(decided.state, decided.targets, request_id, now_ms, act)
+    return replace(after, effects=decided.effects + after.effects)
+
+
+def _expire(turn: Turn) -> Turn:
+    return turn_away(turn, RefusalReason.OVERLOADED)
+
+
+def _set_wake(decided: DecidedSearch, wake_at_ms: float | None) -> DecidedSearch:
+    if wake_at_ms is None or wake_at_ms == decided.state.wake_at_ms:
+        return decided
+    state = replace(decided.state, wake_at_ms=wake_at_ms)
+    timer = SetTimer(ADMISSION_TIMER, wake_at_ms)
+    return replace(decided, state=state, effects=(*decided.effects, timer))
 
 
 def _on_query(
@@ -174,12 +243,23 @@
     """Give the place back, let the query use the reply if it still wants it, fill the place."""
     attempt = state.attempts[ended.attempt_id]
     state = replace(state, attempts=state.attempts.delete(ended.attempt_id))
+    state, effects = note_reply(state, ended, now_ms)
     targets = end_attempt(targets, ended, now_ms - attempt.begun_at_ms, now_ms)
     decided = _use_reply(state, targets, attempt, ended, now_ms)
-    if attempt.service not in decided.state.waiting:
-        return decided
-    room = _give_room(decided.state, decided.targets, attempt.service, now_ms, rearm=False)
-    return replace(room, effects=decided.effects + room.effects)
+    decided = replace(decided, effects=effects + decided.effects)
+    for service in _services_to_resume(decided.state, attempt):
+        room = _give_room(decided.state, decided.targets, service, now_ms, rearm=False)
+        decided = replace(room, effects=decided.effects + room.effects)
+    return decided
+
+
+def _services_to_resume(state: SearchState, attempt: Attempt) -> tuple[str, ...]:
+    """Return the services with shards that may go on now that an attempt has ended."""
+    query = state.queries.get(attempt.request_id)
+    services = {attempt.service}
+    if query is not None and is_suspect(state, query.fingerprint):
+        services.update(query.pending)  # they waited for this attempt to end
+    return tuple(sorted(service for service in services if service in state.waiting))
 
 
 def _use_reply(
@@ -207,13 +287,14 @@
 ) -> DecidedSearch:
     """Let shards that wait for a service go, as far as there is room."""
     effects: tuple[object, ...] = ()
-    while queue := state.waiting.get(service, ()):
-        request_id = queue[0]
+    for request_id in state.waiting.get(service, ()):
+        if not has_room(targets, service, now_ms):
+            break
         query = state.queries.get(request_id)
         if query is not None and _waits(query, service):
             turn = resume_waiting(Turn(state, targets, query, now_ms), service)
             if turn is None:
-                break
+                continue  # has no replica left that has room, or has to run alone
             decided = _end(turn)
             state, targets = decided.state, decided.targets
             effects += decided.effects
--- /dev/null
+++ b/savoryarch/search/_guard.py
@@ -0,0 +1,64 @@
+"""Keeps queries that crash targets away from them, through `savoryarch.quarantine`."""
+
+from dataclasses import replace
+
+from savoryarch.model import AttemptEnded, ConnectionLost, PartReturned, TargetFailed
+from savoryarch.quarantine import (
+    Clear,
+    Quarantined,
+    judge_attempt,
+    judge_request,
+    note_crash,
+    note_ended,
+    note_started,
+)
+from savoryarch.search._state import Attempt, SearchState
+from savoryarch.search._turn import Turn
+
+
+def quarantined_for_ms(turn: Turn) -> float | None:
+    """Return for how long the query at hand is quarantined; None if it is not."""
+    match judge_request(turn.state.quarantine, turn.query.fingerprint, turn.now_ms):
+        case Quarantined(left_ms=left_ms):
+            return left_ms
+        case _:
+            return None
+
+
+def may_run_at(turn: Turn, service: str, target_id: str) -> bool:
+    """Return whether the query at hand may be sent to a target now."""
+    verdict = judge_attempt(
+        turn.state.quarantine, turn.query.fingerprint, service, target_id, turn.now_ms
+    )
+    return isinstance(verdict, Clear)
+
+
+def is_suspect(state: SearchState, fingerprint: str) -> bool:
+    """Return whether attempts of a query may have to run one at a time."""
+    return fingerprint in state.quarantine.records
+
+
+def note_sent(turn: Turn, attempt: Attempt) -> Turn:
+    """Note that an attempt of the query at hand is in flight."""
+    quarantine = note_started(
+        turn.state.quarantine,
+        attempt.attempt_id,
+        attempt.service,
+        attempt.target_id,
+        turn.query.fingerprint,
+    )
+    return replace(turn, state=replace(turn.state, quarantine=quarantine))
+
+
+def note_reply(
+    state: SearchState, ended: AttemptEnded, now_ms: float
+) -> tuple[SearchState, tuple[object, ...]]:
+    """Note the end of an attempt, and blame what was in flight if its target crashed."""
+    quarantine = state.quarantine
+    effects: tuple[object, ...] = ()
+    if isinstance(ended.reply, ConnectionLost):
+        crashed = note_crash(quarantine, ended.target_id, now_ms)
+        quarantine, effects = crashed.state, crashed.effects
+    replied = isinstance(ended.reply, PartReturned | TargetFailed)
+    noted = note_ended(quarantine, ended.attempt_id, ended.target_id, replied=replied)
+    return replace(state, quarantine=noted.state), effects + noted.effects
--- a/savoryarch/search/_query_chart.py
+++ b/savoryarch/search/_query_chart.py
@@ -197,6 +197,7 @@
         reason=query.refusal,
         detail=_detail(turn),
         not_run=query.may_have_run == 0,
+        retry_after_ms=query.retry_after_ms,
     )
     return emit(
         turn, Count("refusals", query.refusal.value), AnswerSearch(query.request_id, outcome)
--- a/savoryarch/search/_sending.py
+++ b/savoryarch/search/_sending.py
@@ -12,6 +12,7 @@
     SnapshotId,
 )
 from savoryarch.search._budget import Budget, spend
+from savoryarch.search._guard import may_run_at, note_sent
 from savoryarch.search._settings import FixedDelayHedging, NoHedging, QuantileHedging
 from savoryarch.search._state import Attempt, Purpose, SearchState, Shard
 from savoryarch.search._turn import Turn, emit, put_shard
@@ -32,14 +33,17 @@
 
 
 def choose(turn: Turn, service: str, exclude: frozenset[str]) -> str | None:
-    """Choose a target with room that serves the query's snapshot."""
-    return choose_target(
+    """Choose a target with room that serves the query's snapshot and that it may run at."""
+    target_id = choose_target(
         turn.targets,
         service,
         exclude=exclude,
         snapshot=turn.query.snapshot,
         now_ms=turn.now_ms,
     )
+    if target_id is None or not may_run_at(turn, service, target_id):
+        return None
+    return target_id
 
 
 def send_attempt(turn: Turn, service: str, shard: Shard, target_id: str, purpose: Purpose) -> Turn:
@@ -83,7 +87,7 @@
         ),
         effects=(*turn.effects, send),
     )
-    return arm_check(turn, check_at_ms)
+    return arm_check(note_sent(turn, attempt), check_at_ms)
 
 
 def arm_check(turn: Turn, at_ms: float) -> Turn:
--- a/savoryarch/search/_settings.py
+++ b/savoryarch/search/_settings.py
@@ -97,6 +97,9 @@
     room_wait_ms: float = setting(
         Number(1.0, 10_000.0), "Time after which a target is tried again that had no room.", 10.0
     )
+    no_snapshot_retry_ms: float = setting(
+        Number(0.0, 600_000.0), "When to resend a request that no target was known for.", 500.0
+    )
     max_restarts: int = setting(
         Number(0, 10, whole=True), "Restarts of a query at another snapshot.", 1
     )
--- a/savoryarch/search/_state.py
+++ b/savoryarch/search/_state.py
@@ -5,6 +5,7 @@
 
 from immutables import Map
 
+from savoryarch.admission import AdmissionSettings, AdmissionState, make_admission_state
 from savoryarch.model import (
     Declarations,
     LeftOutReason,
@@ -16,9 +17,17 @@
     SearchAsked,
     SnapshotId,
 )
+from savoryarch.quarantine import (
+    QuarantineSettings,
+    QuarantineState,
+    make_quarantine_state,
+)
 from savoryarch.search._budget import Budget
 from savoryarch.search._settings import SearchSettings
 
+_ADMISSION = AdmissionSettings()
+_QUARANTINE = QuarantineSettings()
+
 
 class Purpose(Enum):
     """Why an attempt is sent; all but the first draw on the extra-load budget."""
@@ -95,8 +104,12 @@
         When it was asked, and when the answer is due.
     priority : Priority
         The caller's or the declared one.
+    fingerprint : str
+        Equal for equal queries of the same search.
     life : str
         State in the chart ``query``.
+    admitted_at_ms : float
+        When it was fanned out.
     snapshot : SnapshotId or None
         The only snapshot of the answer.
     services : tuple of str
@@ -113,8 +126,12 @@
         Times that it was restarted at another snapshot.
     check_at_ms : float
         When the timer is due that judges the slowness of its attempts.
+    sheds : int
+        Sub-requests that targets shed.
     refusal : RefusalReason
         Why it is refused, if it is.
+    retry_after_ms : float or None
+        When a resend may succeed, if it is refused.
     """
 
     asked: SearchAsked
@@ -122,7 +139,9 @@
     asked_at_ms: float
     deadline_at_ms: float
     priority: Priority
+    fingerprint: str
     life: str
+    admitted_at_ms: float = 0.0
     snapshot: SnapshotId | None = None
     services: tuple[str, ...] = ()
     pending: Map[str, Shard] = field(default_factory=Map)
@@ -131,7 +150,9 @@
     may_have_run: int = 0
     restarts: int = 0
     check_at_ms: float = float("inf")
+    sheds: int = 0
     refusal: RefusalReason = RefusalReason.COVERAGE_TOO_LOW
+    retry_after_ms: float | None = None
 
     @property
     def request_id(self) -> str:
@@ -168,6 +189,10 @@
     ----------
     settings : SearchSettings
         Fixed from start to end.
+    admission : AdmissionState
+        Who runs and who waits.
+    quarantine : QuarantineState
+        Queries that crash targets.
     declarations : Declarations
         In force here.
     queries : Map
@@ -180,6 +205,12 @@
         `Budget` by search.
     chosen : Map
         `ChosenSnapshot` by search.
+    usual_ms : Map
+        How long answered queries take, by search.
+    wake_at_ms : float or None
+        When the admission timer is due.
+    peers : frozenset of str
+        Live peers.
     sent : int
         Attempts sent; the next attempt id.
     stopping : bool
@@ -187,19 +218,32 @@
     """
 
     settings: SearchSettings
+    admission: AdmissionState
+    quarantine: QuarantineState
     declarations: Declarations = field(default_factory=Declarations)
     queries: Map[str, Query] = field(default_factory=Map)
     attempts: Map[str, Attempt] = field(default_factory=Map)
     waiting: Map[str, tuple[str, ...]] = field(default_factory=Map)
     budgets: Map[str, Budget] = field(default_factory=Map)
     chosen: Map[str, ChosenSnapshot] = field(default_factory=Map)
+    usual_ms: Map[str, float] = field(default_factory=Map)
+    wake_at_ms: float | None = None
+    peers: frozenset[str] = frozenset()
     sent: int = 0
     stopping: bool = False
 
 
-def make_search_state(settings: SearchSettings) -> SearchState:
+def make_search_state(
+    settings: SearchSettings,
+    admission: AdmissionSettings = _ADMISSION,
+    quarantine: QuarantineSettings = _QUARANTINE,
+) -> SearchState:
     """Make the state of an instance that has no configuration yet."""
-    return SearchState(settings=settings)
+    return SearchState(
+        settings=settings,
+        admission=make_admission_state(admission),
+        quarantine=make_quarantine_state(quarantine),
+    )
 
 
 def unfinished_requests(state: SearchState) -> tuple[str, ...]:
--- /dev/null
+++ b/savoryarch/search/tests/test_admission.py
@@ -0,0 +1,126 @@
+"""Searches pass quarantine and admission before they fan out."""
+
+import pytest
+
+from savoryarch.admission import AdmissionSettings, FixedLimit
+from savoryarch.model import (
+    CallerGone,
+    ConnectionLost,
+    NewWorkEnded,
+    PeerSaid,
+    PeersChanged,
+    Priority,
+    RefusalReason,
+    Refused,
+    TellPeer,
+    TellPeers,
+)
+from savoryarch.quarantine import QuarantineDeclared, fingerprint_of
+from savoryarch.search import unfinished_requests
+from savoryarch.search.tests.driver import Driver, declare, returned
+
+ONE_AT_A_TIME = AdmissionSettings(policy=FixedLimit(3.0), urgent_headroom=0.0)
+POISON = b'{"part": "poison"}'
+
+
+def crash_on_poison(send, now_ms):
+    if send.request.query == POISON and send.target_id.startswith("balcao-00"):
+        return 2.0, ConnectionLost("reset")
+    return returned(send, 20.0)
+
+
+@pytest.mark.parametrize(
+    ("priorities", "order"),
+    [
+        ([Priority.NORMAL] * 3, ["r0", "r1", "r2"]),
+        ([Priority.BATCH, Priority.BATCH, Priority.URGENT], ["r0", "r2", "r1"]),
+        ([Priority.BATCH, Priority.BATCH, Priority.NORMAL], ["r0", "r2", "r1"]),
+    ],
+)
+def test_queries_wait_for_admission_and_start_by_priority(priorities, order):
+    driver = Driver(script=lambda send, now: returned(send, 20.0), admission=ONE_AT_A_TIME)
+    for number, priority in enumerate(priorities):
+        driver.ask(f"r{number}", priority=priority)
+    assert sorted(unfinished_requests(driver.search)) == ["r0", "r1", "r2"]
+    assert len(driver.sends) == 3
+    driver.run()
+    assert sorted(driver.answered_at_ms, key=driver.answered_at_ms.get) == order
+    assert [driver.answered_at_ms[name] for name in order] == [21.0, 41.0, 61.0]
+
+
+@pytest.mark.parametrize(
+    ("deadline_ms", "reason"),
+    [(30.0, RefusalReason.OVERLOADED), (2.0, RefusalReason.DEADLINE_TOO_SHORT)],
+)
+def test_a_query_that_cannot_be_in_time_is_refused_as_not_run(deadline_ms, reason):
+    driver = Driver(script=lambda send, now: returned(send, 100.0), admission=ONE_AT_A_TIME)
+    driver.ask("r0")
+    driver.ask("r1", deadline_at_ms=driver.now_ms + deadline_ms)
+    driver.run(until_ms=60.0)
+    outcome = driver.outcome("r1")
+    assert (outcome.reason, outcome.not_run) == (reason, True)
+    assert "r1" not in driver.asked_for.values()
+
+
+def test_a_waiting_query_whose_caller_left_never_starts():
+    driver = Driver(script=lambda send, now: returned(send, 20.0), admission=ONE_AT_A_TIME)
+    for name in ("r0", "r1", "r2"):
+        driver.ask(name)
+    driver.offer(CallerGone("r1"))
+    driver.run()
+    assert set(driver.answers) == {"r0", "r2"}
+    assert set(driver.asked_for.values()) == {"r0", "r2"}
+
+
+def test_a_stopping_instance_finishes_what_it_has_taken():
+    driver = Driver(script=lambda send, now: returned(send, 20.0), admission=ONE_AT_A_TIME)
+    driver.ask("r0")
+    driver.ask("r1")
+    driver.offer(NewWorkEnded())
+    driver.ask("r2")
+    driver.run()
+    refused = driver.outcome("r2")
+    assert (refused.reason, refused.not_run) == (RefusalReason.STOPPING, True)
+    assert not any(isinstance(driver.outcome(name), Refused) for name in ("r0", "r1"))
+    assert unfinished_requests(driver.search) == ()
+
+
+def test_a_query_that_crashes_two_targets_is_refused_and_stays_refused():
+    driver = Driver(script=crash_on_poison)
+    driver.ask("r0", POISON)
+    driver.ask("r1", b"{}")
+    driver.run(until_ms=600.0)
+    driver.ask("r2", POISON)
+    driver.ask("r3", b"{}")
+    driver.run()
+    crashes = [send for send in driver.sends if send.request.query == POISON]
+    crashed = [send.target_id for send in crashes if send.target_id.startswith("balcao-00")]
+    assert len(crashed) == len(set(crashed)) == 2
+    assert driver.outcome("r0").reason is RefusalReason.QUARANTINED
+    assert driver.outcome("r0").not_run is False
+    assert (driver.outcome("r2").reason, driver.outcome("r2").not_run) == (
+        RefusalReason.QUARANTINED,
+        True,
+    )
+    assert driver.outcome("r1").coverage.answered == driver.outcome("r3").coverage.answered == 3
+    assert any(isinstance(effect, TellPeers) for effect in driver.effects)
+
+
+def test_what_peers_quarantined_is_refused_and_passed_on():
+    driver = Driver(script=crash_on_poison)
+    fingerprint = fingerprint_of("catalogue", POISON)
+    driver.offer(PeerSaid("entry-b", QuarantineDeclared(fingerprint, 60_000.0)))
+    driver.ask("r0", POISON)
+    assert driver.outcome("r0").reason is RefusalReason.QUARANTINED
+    assert driver.sends == []
+    driver.offer(PeersChanged(("entry-c",)))
+    assert TellPeer("entry-c", QuarantineDeclared(fingerprint, 60_000.0)) in driver.effects
+
+
+def test_shards_without_room_wait_and_urgent_ones_go_first():
+    driver = Driver(declare(slots=1, replicas=1), lambda send, now: returned(send, 20.0))
+    for name, priority in (("r0", None), ("r1", Priority.BATCH), ("r2", Priority.URGENT)):
+        driver.ask(name, priority=priority)
+    assert max(driver.in_flight().values()) == 1
+    driver.run()
+    assert [driver.answered_at_ms[name] for name in ("r0", "r2", "r1")] == [21.0, 41.0, 61.0]
--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -1,7 +1,7 @@
 """Targets: whether they are live, what they serve, and how much of each may be used."""
 
 from savoryarch.targets._attempts import begin_attempt, deny_snapshot, end_attempt, note_overdue
-from savoryarch.targets._choose import can_serve, choose_target
+from savoryarch.targets._choose import can_serve, choose_target, has_room
 from savoryarch.targets._decide import decide_targets
 from savoryarch.targets._limits import connection_share, in_flight_limit
 from savoryarch.targets._settings import (
@@ -32,6 +32,7 @@
     "decide_targets",
     "deny_snapshot",
     "end_attempt",
+    "has_room",
     "in_flight_limit",
     "make_targets_state",
     "note_overdue",
--- a/savoryarch/targets/_choose.py
+++ b/savoryarch/targets/_choose.py
@@ -57,6 +57,16 @@
     return chosen
 
 
+def has_room(state: TargetsState, service: str, now_ms: float) -> bool:
+    """Return whether any target of a service has room for one more attempt."""
+    declared = state.services.get(service)
+    if declared is None:
+        return True  # whoever waits has to be told that nothing serves it
+    records = [state.records[target_id] for target_id in declared.target_ids]
+    usable = [record for record in records if _is_usable(record, None)]
+    return not usable or any(_has_room(record, None, now_ms) for record in usable)
+
+
 def can_serve(
     state: TargetsState, service: str, exclude: frozenset[str], snapshot: SnapshotId | None
 ) -> bool:
