Lengthen the hedging delay as the budget empties

Change: the delay grows up to twofold as the budget empties; a hedge that was not paid for is tried again after a quarter of the delay.

--- a/savoryarch/search/_attempt_chart.py
+++ b/savoryarch/search/_attempt_chart.py
@@ -38,6 +38,7 @@
     pay,
     pinned_snapshot,
     send_attempt,
+    slow_after_ms,
     wait_for_room,
 )
 from savoryarch.search._settings import (
@@ -117,7 +118,8 @@
         return turn
     paid = turn if isinstance(hedging, FixedDelayHedging) else pay(turn)
     if paid is None:
-        return emit(turn, Count("budget_spent", "hedge"))
+        shard = replace(shard, check_at_ms=turn.now_ms + slow_after_ms(turn, service) / 4)
+        return put_shard(emit(turn, Count("budget_spent", "hedge")), service, shard)
     turn = count_retry(paid, "hedge")
     return send_attempt(turn, service, shard, target_id, Purpose.HEDGE)
 
--- a/savoryarch/search/_sending.py
+++ b/savoryarch/search/_sending.py
@@ -16,7 +16,7 @@
 from savoryarch.search._settings import FixedDelayHedging, NoHedging, QuantileHedging
 from savoryarch.search._state import Attempt, Purpose, SearchState, Shard
 from savoryarch.search._turn import Turn, emit, put_shard
-from savoryarch.targets import TargetsState, begin_attempt, choose_target
+from savoryarch.targets import begin_attempt, choose_target
 
 ROOM_TIMER = "search/room/"
 SLOW_TIMER = "search/slow/"
@@ -61,7 +61,7 @@
         snapshot=snapshot,
         begun_at_ms=now_ms,
     )
-    check_at_ms = now_ms + slow_after_ms(state, turn.targets, service)
+    check_at_ms = now_ms + slow_after_ms(turn, service)
     if shard.attempt_ids:
         check_at_ms = min(check_at_ms, shard.check_at_ms)
     shard = replace(
@@ -99,9 +99,12 @@
     return emit(turn, SetTimer(SLOW_TIMER + query.request_id, at_ms))
 
 
-def slow_after_ms(state: SearchState, targets: TargetsState, service: str) -> float:
-    """Return how long an attempt may take before it counts as slow."""
-    hedging = state.settings.hedging
+def slow_after_ms(turn: Turn, service: str) -> float:
+    """Return how long an attempt may take before it counts as slow.
+
+    The delay grows as the budget empties, so that it is spent on the slowest attempts.
+    """
+    hedging = turn.state.settings.hedging
     match hedging:
         case FixedDelayHedging(delay_ms=delay_ms):
             return delay_ms
@@ -109,8 +112,17 @@
             hedging = QuantileHedging()
         case QuantileHedging():
             pass
-    known = targets.services[service].histogram
-    return known.tail_ms if known.samples >= hedging.least_samples else hedging.first_delay_ms
+    known = turn.targets.services[service].histogram
+    if known.samples < hedging.least_samples:
+        return hedging.first_delay_ms
+    return known.tail_ms * (2.0 - _budget_level(turn))
+
+
+def _budget_level(turn: Turn) -> float:
+    """Return 1 while at least half of the budget is there, down to 0 when it is spent."""
+    budget = turn.state.budgets.get(turn.query.search.name)
+    burst = max(turn.state.settings.extra_load_burst, 1)
+    return min(1.0, 2.0 * budget.tokens / burst) if budget else 1.0
 
 
 def pay(turn: Turn, requests: int = 1) -> Turn | None:
