Try the configuration under random faults

Cause: an accepted configuration must be in force everywhere and never revert, whatever fails. Change: a property test over four instances in virtual time: cuts, losses, store outages, lost replies, writes that take effect late, instances replaced, operators racing.

--- a/savoryarch/configuration/tests/fleet.py
+++ b/savoryarch/configuration/tests/fleet.py
@@ -42,6 +42,7 @@
 STORE_MS = 5.0
 PEER_MS = 1.0
 STORE_TIMEOUT_MS = 1000.0
+LATE_WRITE_MS = 2500.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,13 @@
     call: WatchKeys
 
 
+@dataclass(frozen=True, slots=True)
+class EndWatch:
+    """The time when a waiting watch ends."""
+
+    call: WatchKeys
+
+
 class Fleet:
     """The instances, the store and what is on its way."""
 
@@ -64,6 +72,8 @@
         self.store_groups = {0}
         self.loss = 0.0
         self.reply_loss = 0.0
+        self.late_writes = 0.0
+        self.committed = {}
         self.value = (None, 0)
         self.revision = 0
         self.backups = []
@@ -179,9 +189,12 @@
             delay_ms = PEER_MS * (0.5 + self.random.random())
             self.later(delay_ms, peer_id, PeerSaid(instance_id, message))
 
-    def serve(self, instance_id, call):
-        """Let the store take a call."""
-        if self.groups.get(instance_id, "gone") not in self.store_groups:
+    def serve(self, instance_id, call, late=False):
+        """Let the store take a call; a late write takes effect after its caller gave up."""
+        if isinstance(call, EndWatch):
+            self.end_watch(Waiter(instance_id, call.call))
+            return
+        if not late and not self.is_reachable(instance_id):
             self.reply(instance_id, call, StoreUnreachable("cut off"), STORE_TIMEOUT_MS)
             return
         value, revision = self.value
@@ -200,11 +213,11 @@
                 self.reply(instance_id, call, KeysChanged((change,), self.revision))
             case WatchKeys():
                 self.waiters.append(Waiter(instance_id, call))
-                self.later(call.wait_ms, "store", (instance_id, ("end", call)))
-            case ("end", call):
-                if Waiter(instance_id, call) in self.waiters:
-                    self.waiters.remove(Waiter(instance_id, call))
-                    self.reply(instance_id, call, KeysChanged((), self.revision))
+                self.later(call.wait_ms, "store", (instance_id, EndWatch(call)))
+            case SwapKey() if not late and self.random.random() < self.late_writes:
+                self.later(LATE_WRITE_MS, "store", (instance_id, call, True))
+                unreachable = StoreUnreachable("no reply in time")
+                self.reply(instance_id, call, unreachable, STORE_TIMEOUT_MS)
             case SwapKey() if call.expected_revision != revision:
                 self.reply(instance_id, call, SwapConflict(call.key, revision))
             case SwapKey():
@@ -213,6 +226,8 @@
 
     def write(self, value):
         self.revision += 1
+        version = RECORD_CODEC.decode_record(value).version
+        self.committed.setdefault(version.generation, set()).add(version.change_id)
         self.value = (value, self.revision)
         self.backups.append(self.value)
         waiters, self.waiters = self.waiters, []
@@ -220,7 +235,16 @@
             change = KeyChange("configuration/current", value, self.revision)
             self.reply(waiter.instance_id, waiter.call, KeysChanged((change,), self.revision))
 
+    def end_watch(self, waiter):
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+            self.reply(waiter.instance_id, waiter.call, KeysChanged((), self.revision))
+
+    def is_reachable(self, instance_id):
+        return self.groups.get(instance_id, "gone") in self.store_groups
+
     def reply(self, instance_id, call, reply, delay_ms=STORE_MS, loses=False):
-        if loses and self.random.random() < self.reply_loss:
+        lost = loses and self.random.random() < self.reply_loss
+        if lost or not self.is_reachable(instance_id):
             reply, delay_ms = StoreUnreachable("reply lost"), STORE_TIMEOUT_MS
         self.later(delay_ms, instance_id, StoreReplied(call.call_id, reply))
--- /dev/null
+++ b/savoryarch/configuration/tests/test_properties.py
@@ -0,0 +1,108 @@
+"""Random faults over several instances: what must always hold of the configuration."""
+
+from itertools import pairwise
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from savoryarch.configuration.tests.fleet import Fleet
+from savoryarch.model import Caller, ChangeAccepted, PutResource
+
+INSTANCES = 4
+HEAL_MS = 5_000.0
+SETTLE_MS = 8_000.0
+
+ACTIONS = st.one_of(
+    st.tuples(st.just("ask"), st.integers(0, 9), st.integers(0, 3)),
+    st.tuples(st.just("run"), st.sampled_from([1, 7, 40, 600, 2500])),
+    st.tuples(st.just("cut"), st.lists(st.integers(0, 2), min_size=10, max_size=10)),
+    st.tuples(st.just("meet")),
+    st.tuples(st.just("store"), st.sampled_from([(), (0,), (1,), (0, 1, 2)])),
+    st.tuples(st.just("loss"), st.sampled_from([0.0, 0.2, 0.9]), st.sampled_from([0.0, 0.5])),
+    st.tuples(st.just("late"), st.sampled_from([0.0, 0.5])),
+    st.tuples(st.just("replace"), st.integers(0, 9)),
+)
+
+
+def play(fleet, actions):
+    """Carry out the actions; each change writes one of four resources."""
+    started = INSTANCES
+    for number, (name, *arguments) in enumerate(actions):
+        ids = sorted(fleet.states)
+        match name, arguments:
+            case "ask", [which, resource]:
+                caller = Caller(f"caller-{resource}", 1.0 + number)
+                fleet.ask(ids[which % len(ids)], f"change-{number}", PutResource(caller))
+            case "run", [for_ms]:
+                fleet.run(for_ms)
+            case "cut", [groups]:
+                fleet.groups = {item: groups[place] for place, item in enumerate(ids)}
+            case "meet", []:
+                fleet.meet()
+            case "store", [groups]:
+                fleet.store_groups = set(groups)
+            case "loss", [loss, reply_loss]:
+                fleet.loss, fleet.reply_loss = loss, reply_loss
+            case "late", [late]:
+                fleet.late_writes = late
+            case "replace", [which]:
+                gone = ids[which % len(ids)]
+                group = fleet.groups[gone]
+                fleet.kill(gone)
+                fleet.start(f"entry-{started}", group)
+                started += 1
+
+
+def heal(fleet):
+    fleet.loss = fleet.reply_loss = fleet.late_writes = 0.0
+    fleet.store_groups = {0}
+    fleet.cut(lambda instance_id: 0)
+
+
+@settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(st.integers(0, 2**16), st.lists(ACTIONS, min_size=5, max_size=40))
+def test_configuration_under_random_faults(seed, actions):
+    fleet = Fleet(seed)
+    for number in range(INSTANCES):
+        fleet.start(f"entry-{number}")
+    fleet.meet()
+    play(fleet, actions)
+    heal(fleet)
+    fleet.run(HEAL_MS)
+    check_in_force_everywhere(fleet)
+    fleet.run(SETTLE_MS)
+    check_in_force_everywhere(fleet)
+    check_generations(fleet)
+    check_answers(fleet, actions)
+
+
+def check_in_force_everywhere(fleet):
+    newest = max(fleet.committed, default=0)
+    assert {state.record.generation for state in fleet.states.values()} == {newest}
+
+
+def check_generations(fleet):
+    for generations in fleet.in_force.values():
+        assert all(before < after for before, after in pairwise(generations))
+    assert all(len(change_ids) == 1 for change_ids in fleet.committed.values())
+
+
+def check_answers(fleet, actions):
+    owners = {change_id: generation for generation, (change_id,) in fleet.committed.items()}
+    living = set(fleet.states)
+    for change_id, (outcome, _, instance_id) in fleet.answers.items():
+        if isinstance(outcome, ChangeAccepted) and outcome.changed:
+            assert owners[change_id] == outcome.generation
+        assert change_id not in owners or not is_definite_refusal(outcome)
+    asked = {f"change-{number}" for number, action in enumerate(actions) if action[0] == "ask"}
+    unanswered = {item.change_id for name in living for item in fleet.states[name].changes}
+    assert not unanswered & asked
+
+
+def is_definite_refusal(outcome):
+    return type(outcome).__name__ not in ("ChangeAccepted", "ChangeUnknown")
