--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -8,6 +8,7 @@
 from savoryarch.configuration import ConfigurationSettings
 from savoryarch.exceptions import FindingsError
 from savoryarch.membership import MembershipSettings
+from savoryarch.orders import OrdersSettings
 from savoryarch.search import SearchSettings
 from savoryarch.settings._sections import (
     CallersSettings,
@@ -45,6 +46,7 @@
     log: LogSettings
     targets: TargetsSettings
     search: SearchSettings
+    orders: OrdersSettings
     admission: AdmissionSettings
     membership: MembershipSettings
     shutdown: ShutdownSettings
