--- a/savoryarch/configuration/_decide.py
+++ b/savoryarch/configuration/_decide.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from savoryarch.configuration._causes import update_notices
 from savoryarch.configuration._changes import (
     ACKNOWLEDGE_TIMER,
     DEADLINE_TIMER,
@@ -13,6 +14,7 @@
     time_out_change,
 )
 from savoryarch.configuration._changes import RETRY_TIMER as CHANGE_RETRY_TIMER
+from savoryarch.configuration._draw import draw, mix_seed
 from savoryarch.configuration._following import (
     RETRY_TIMER,
     choose_watchers,
@@ -69,6 +71,10 @@
     now_ms : float
         Time on the clock of the process.
     """
+    return then(_decide(state, event, now_ms), lambda after: update_notices(after, now_ms))
+
+
+def _decide(state: ConfigurationState, event: object, now_ms: float) -> ConfigurationDecided:
     match event:
         case Started(instance_id=instance_id):
             return _start(replace(state, instance_id=instance_id), now_ms)
@@ -93,8 +99,10 @@
 
 
 def _start(state: ConfigurationState, now_ms: float) -> ConfigurationDecided:
-    timer = SetTimer(ANNOUNCE_TIMER, now_ms + state.settings.announce_interval_ms)
-    decided: ConfigurationDecided = Decided(state, (timer,))
+    state = replace(state, random_state=mix_seed(state.random_state, state.instance_id))
+    random_state, draw_ms = draw(state.random_state, int(state.settings.announce_interval_ms))
+    timer = SetTimer(ANNOUNCE_TIMER, now_ms + draw_ms)
+    decided: ConfigurationDecided = Decided(replace(state, random_state=random_state), (timer,))
     return then(decided, lambda after: fire_store(after, "started", now_ms))
 
 
--- a/savoryarch/configuration/_draw.py
+++ b/savoryarch/configuration/_draw.py
@@ -27,6 +27,11 @@
     return sum(1 for other in others if _weight(other, subject) > own)
 
 
+def mix_seed(random_state: int, subject: str) -> int:
+    """Return a seed that differs between subjects."""
+    return random_state ^ _weight(subject, "seed")[0]
+
+
 def _weight(instance_id: str, subject: str) -> tuple[int, str]:
     value = 0
     for byte in f"{subject}/{instance_id}".encode():
--- a/savoryarch/configuration/_state.py
+++ b/savoryarch/configuration/_state.py
@@ -184,6 +184,8 @@
         A version that did not come from what is in force here, nor the other way round.
     asked_status : Map
         For each status id, when it was asked.
+    raised : frozenset of str
+        Ids of the open notices.
     calls : int
         Number of store calls made, for call ids.
     """
@@ -201,6 +203,7 @@
     incoming: Incoming = field(default_factory=Incoming)
     split_version: ConfigurationVersion | None = None
     asked_status: Map[str, float] = field(default_factory=Map)
+    raised: frozenset[str] = frozenset()
     calls: int = 0
 
 
--- a/savoryarch/configuration/tests/fleet.py
+++ b/savoryarch/configuration/tests/fleet.py
@@ -13,6 +13,7 @@
     AnswerChange,
     AnswerStatus,
     ChangeAsked,
+    ClearNotice,
     ClearTimer,
     DeclarationsInForce,
     Inform,
@@ -24,6 +25,7 @@
     ListKeys,
     PeerSaid,
     PeersChanged,
+    RaiseNotice,
     ReadKey,
     SetTimer,
     Started,
@@ -35,6 +37,7 @@
     TellPeer,
     TellPeers,
     TimerFired,
+    WatchCompacted,
     WatchKeys,
 )
 from savoryarch.resources import RECORD_CODEC
@@ -83,6 +86,7 @@
         self.answers = {}
         self.statuses = {}
         self.in_force = {}
+        self.notices = {}
         self.store_calls = 0
         self.peer_messages = 0
         self.on_message = None
@@ -178,6 +182,10 @@
                 self.answers[change_id] = (outcome, self.now_ms, instance_id)
             case AnswerStatus(status_id=status_id, status=status):
                 self.statuses[status_id] = status
+            case RaiseNotice(notice=notice):
+                self.notices.setdefault(instance_id, set()).add(notice.notice_id)
+            case ClearNotice(notice_id=notice_id):
+                self.notices[instance_id].remove(notice_id)
             case Inform(event=DeclarationsInForce(declarations=declarations)):
                 self.in_force[instance_id].append(declarations.generation)
 
@@ -208,6 +216,8 @@
                     () if value is None else (KeyRead("configuration/current", value, revision),)
                 )
                 self.reply(instance_id, call, KeysListed(entries, self.revision))
+            case WatchKeys() if call.since_revision > self.revision:
+                self.reply(instance_id, call, WatchCompacted(self.revision))
             case WatchKeys() if revision > call.since_revision:
                 change = KeyChange("configuration/current", value, revision)
                 self.reply(instance_id, call, KeysChanged((change,), self.revision))
--- a/savoryarch/configuration/tests/test_properties.py
+++ b/savoryarch/configuration/tests/test_properties.py
@@ -95,7 +95,7 @@
 def check_answers(fleet, actions):
     owners = {change_id: generation for generation, (change_id,) in fleet.committed.items()}
     living = set(fleet.states)
-    for change_id, (outcome, _, instance_id) in fleet.answers.items():
+    for change_id, (outcome, *_) in fleet.answers.items():
         if isinstance(outcome, ChangeAccepted) and outcome.changed:
             assert owners[change_id] == outcome.generation
         assert change_id not in owners or not is_definite_refusal(outcome)
--- /dev/null
+++ b/savoryarch/configuration/tests/test_scenarios.py
@@ -0,0 +1,277 @@
+"""Failures one by one: what is in force afterwards, and what the operators are told."""
+
+import pytest
+
+from savoryarch.configuration.tests.fleet import Fleet
+from savoryarch.model import (
+    Caller,
+    ChangeAccepted,
+    ChangeBlocked,
+    ChangeUnavailable,
+    ChangeUnknown,
+    PutResource,
+    RestoreChoice,
+    SettleRestore,
+    StatusAsked,
+)
+
+RESTORED = "configuration-restored"
+UNSETTLED = "configuration-unsettled"
+KEEP = SettleRestore(RestoreChoice.KEEP_IN_FORCE)
+TAKE = SettleRestore(RestoreChoice.TAKE_STORED)
+
+
+def put(weight, name="portal"):
+    return PutResource(Caller(name, weight))
+
+
+class Play:
+    """The steps of a scenario, by name."""
+
+    def __init__(self):
+        self.fleet = Fleet(seed=11)
+        for number in range(4):
+            self.fleet.start(f"entry-{number}")
+        self.fleet.meet()
+        self.fleet.run(200)
+
+    def ask(self, number, change_id, *changes):
+        self.fleet.ask(f"entry-{number}", change_id, *changes)
+
+    def run(self, for_ms):
+        self.fleet.run(for_ms)
+
+    def run_until_answered(self, change_id):
+        while change_id not in self.fleet.answers:
+            self.fleet.run(1.0)
+
+    def kill(self, number):
+        self.fleet.kill(f"entry-{number}")
+
+    def start(self, number, group=0):
+        self.fleet.start(f"entry-{number}", group)
+
+    def meet(self):
+        self.fleet.meet()
+
+    def cut_off(self, *numbers):
+        names = {f"entry-{number}" for number in numbers}
+        self.fleet.cut(lambda instance_id: 1 if instance_id in names else 0)
+
+    def store(self, *groups):
+        self.fleet.store_groups = set(groups)
+
+    def lose_replies(self, share):
+        self.fleet.reply_loss = share
+
+    def delay_writes(self, share):
+        self.fleet.late_writes = share
+
+    def restore(self, index):
+        self.fleet.restore(index)
+
+    def expect_outcome(self, change_id, kind):
+        assert isinstance(self.fleet.answers[change_id][0], kind), self.fleet.answers[change_id]
+
+    def expect_in_force(self, generation, *numbers):
+        ids = [f"entry-{number}" for number in numbers] or list(self.fleet.states)
+        found = {name: self.fleet.states[name].record.generation for name in ids}
+        assert set(found.values()) == {generation}, found
+
+    def expect_weight(self, weight):
+        for state in self.fleet.states.values():
+            assert state.record.declarations.callers["portal"].weight == weight
+
+    def expect_notices(self, *notices):
+        for instance_id in self.fleet.states:
+            assert self.fleet.notices.get(instance_id, set()) == set(notices), instance_id
+
+    def expect_status(self, number, generations):
+        self.fleet.give(f"entry-{number}", StatusAsked("s"))
+        self.fleet.run(600)
+        found = {
+            item.instance_id: item.generation
+            for item in self.fleet.statuses["s"].instances
+            if item.live
+        }
+        assert tuple(found.get(f"entry-{place}") for place in range(4)) == generations
+
+
+CALM = [("ask", 0, "c1", put(1.0)), ("run", 1000), ("expect_in_force", 1)]
+GROWN = [*CALM, ("ask", 1, "c2", put(2.0)), ("run", 1000), ("expect_in_force", 2)]
+
+SCENARIOS = {
+    "store out and the accepting instance gone right after acceptance": [
+        ("ask", 0, "c1", put(1.0)),
+        ("run_until_answered", "c1"),
+        ("expect_outcome", "c1", ChangeAccepted),
+        ("store",),
+        ("kill", 0),
+        ("run", 5000),
+        ("expect_in_force", 1),
+    ],
+    "the reply to the write is lost": [
+        ("lose_replies", 1.0),
+        ("ask", 0, "c1", put(1.0)),
+        ("run", 4000),
+        ("expect_outcome", "c1", ChangeAccepted),
+        ("expect_in_force", 1),
+        ("expect_notices",),
+    ],
+    "the write takes effect after the first try gave up": [
+        ("delay_writes", 1.0),
+        ("ask", 0, "c1", put(1.0)),
+        ("run", 2000),
+        ("delay_writes", 0.0),
+        ("run", 5000),
+        ("expect_outcome", "c1", ChangeAccepted),
+        ("expect_in_force", 1),
+    ],
+    "the reply is lost and the store goes out": [
+        ("delay_writes", 1.0),
+        ("ask", 0, "c1", put(1.0)),
+        ("run", 20),
+        ("store",),
+        ("run", 6000),
+        ("expect_outcome", "c1", ChangeUnknown),
+        ("run", 30_000),
+        ("store", 0),
+        ("run", 5000),
+        ("expect_in_force", 1),
+        ("expect_notices",),
+    ],
+    "the store is out": [
+        *CALM,
+        ("store",),
+        ("ask", 0, "c2", put(2.0)),
+        ("run", 6000),
+        ("expect_outcome", "c2", ChangeUnavailable),
+        ("store", 0),
+        ("run", 5000),
+        ("expect_in_force", 1),
+        ("expect_notices",),
+    ],
+    "operators race": [
+        ("ask", 0, "a", put(1.0, "a")),
+        ("ask", 1, "b", put(1.0, "b")),
+        ("ask", 2, "c", put(1.0, "c")),
+        ("run", 2000),
+        ("expect_outcome", "a", ChangeAccepted),
+        ("expect_outcome", "b", ChangeAccepted),
+        ("expect_outcome", "c", ChangeAccepted),
+        ("expect_in_force", 3),
+    ],
+    "an instance starts in an outage": [
+        *GROWN,
+        ("store",),
+        ("kill", 3),
+        ("start", 9),
+        ("meet",),
+        ("run", 1000),
+        ("expect_in_force", 2),
+    ],
+    "an instance starts in an outage and meets its peers late": [
+        *GROWN,
+        ("store",),
+        ("start", 9, 1),
+        ("run", 60_000),
+        ("expect_in_force", 0, 9),
+        ("cut_off",),
+        ("run", 1000),
+        ("expect_in_force", 2),
+    ],
+    "a zone is cut off and healed": [
+        *CALM,
+        ("cut_off", 2, 3),
+        ("ask", 0, "c2", put(2.0)),
+        ("run", 5000),
+        ("expect_in_force", 2, 0, 1),
+        ("expect_in_force", 1, 2, 3),
+        ("expect_status", 0, (2, 2, None, None)),
+        ("cut_off",),
+        ("run", 1000),
+        ("expect_in_force", 2),
+        ("expect_status", 3, (2, 2, 2, 2)),
+    ],
+    "a zone is cut off from its peers, but not from the store": [
+        *CALM,
+        ("cut_off", 3),
+        ("store", 0, 1),
+        ("ask", 0, "c2", put(2.0)),
+        ("run", 5000),
+        ("expect_in_force", 2),
+    ],
+    "only one instance reaches the store, and its peers do not hear it": [
+        *CALM,
+        ("cut_off", 3),
+        ("store", 1),
+        ("ask", 3, "c2", put(2.0)),
+        ("run", 5000),
+        ("expect_outcome", "c2", ChangeAccepted),
+        ("cut_off",),
+        ("run", 1000),
+        ("expect_in_force", 2),
+    ],
+    "the store is restored and the configuration in force is kept": [
+        *GROWN,
+        ("restore", 0),
+        ("run", 5000),
+        ("expect_in_force", 2),
+        ("expect_notices", RESTORED),
+        ("ask", 0, "c3", put(3.0)),
+        ("run", 1000),
+        ("expect_outcome", "c3", ChangeBlocked),
+        ("ask", 0, "c4", KEEP),
+        ("run", 5000),
+        ("expect_outcome", "c4", ChangeAccepted),
+        ("expect_in_force", 3),
+        ("expect_weight", 2.0),
+        ("expect_notices",),
+        ("ask", 3, "c5", put(5.0)),
+        ("run", 1000),
+        ("expect_in_force", 4),
+    ],
+    "the store is restored and its configuration is taken": [
+        *GROWN,
+        ("restore", 0),
+        ("ask", 3, "c3", TAKE),
+        ("run", 5000),
+        ("expect_in_force", 3),
+        ("expect_weight", 1.0),
+        ("expect_notices",),
+    ],
+    "the store is restored and an instance that knows of nothing else changes it": [
+        *GROWN,
+        ("cut_off", 9),
+        ("start", 9, 1),
+        ("store", 1),
+        ("restore", 0),
+        ("run", 3000),
+        ("ask", 9, "fork", put(9.0)),
+        ("run", 2000),
+        ("expect_in_force", 2),
+        ("cut_off",),
+        ("store", 0),
+        ("run", 5000),
+        ("expect_in_force", 2),
+        ("expect_notices", RESTORED),
+        ("ask", 0, "c4", KEEP),
+        ("run", 5000),
+        ("expect_in_force", 3),
+        ("expect_weight", 2.0),
+        ("expect_notices",),
+    ],
+    "nothing was restored, so there is nothing to decide": [
+        *CALM,
+        ("ask", 0, "c2", KEEP),
+        ("run", 1000),
+        ("expect_in_force", 1),
+    ],
+}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario(name):
+    play = Play()
+    for step, *arguments in SCENARIOS[name]:
+        getattr(play, step)(*arguments)
