Replay whole trace files against the root decision

Cause: savoryarch replay had no driver, and quarantine messages could not be decoded by peers. Change: trace files start an instance with settings and resources; the subjects' own messages are registered with the peer codec; admission and quarantine settings reach the decisions. Conclusion: traces for each promise can be written.

--- a/savoryarch/codec/_messages.py
+++ b/savoryarch/codec/_messages.py
@@ -74,14 +74,12 @@
             raise CodecError(str(error)) from error
 
 
-def make_message_codec(*modules: ModuleType) -> MessageCodec:
-    """Make a codec for every data class that the modules define or export."""
-    classes = {
-        name: member
-        for module in modules
-        for name, member in getmembers(module, isclass)
-        if is_dataclass(member)
-    }
+def make_message_codec(*sources: ModuleType | type) -> MessageCodec:
+    """Make a codec for data classes, and for every one that a module defines or exports."""
+    classes: dict[str, type] = {}
+    for source in sources:
+        members = [source] if isclass(source) else [kind for _, kind in getmembers(source, isclass)]
+        classes |= {kind.__name__: kind for kind in members if is_dataclass(kind)}
     names = MappingProxyType(classes)
     return MessageCodec(names, _make_converter(names, False), _make_converter(names, True))
 
--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -23,7 +23,7 @@
 from savoryarch.resources import RECORD_CODEC
 from savoryarch.settings import Settings
 from savoryarch.store import StoreClient, StoreSettings
-from savoryarch.tier import TierSettings, make_tier_state
+from savoryarch.tier import SUBJECT_MESSAGES, TierSettings, make_tier_state
 from savoryarch.utils import make_system_clock, make_wall_clock
 
 reactor: Any = default_reactor
@@ -79,6 +79,8 @@
         incarnation=incarnation,
         targets=settings.targets,
         search=settings.search,
+        admission=settings.admission,
+        quarantine=settings.quarantine,
         orders=settings.orders,
         configuration=settings.configuration,
         membership=settings.membership,
@@ -109,7 +111,7 @@
     hear: Callable[[str, object], None],
     metrics: Metrics,
 ) -> PeerTransport:
-    codec = make_message_codec(model)
+    codec = make_message_codec(model, *SUBJECT_MESSAGES)
     counts = PeerCounts(
         sent=partial(metrics.count, "peer_bytes", "sent"),
         received=partial(metrics.count, "peer_bytes", "received"),
--- a/savoryarch/replay/_player.py
+++ b/savoryarch/replay/_player.py
@@ -48,7 +48,13 @@
     effect_count: int = 0
 
 
-def play_trace(trace: Trace, state: Any, decide: Decide, codec: MessageCodec) -> TraceResult:
+def play_trace(
+    trace: Trace,
+    state: Any,
+    decide: Decide,
+    codec: MessageCodec,
+    start: tuple[object, ...] = (),
+) -> TraceResult:
     """Play a trace in virtual time.
 
     Parameters
@@ -61,9 +67,13 @@
         The decision.
     codec : MessageCodec
         Converts events and effects to the plain form that the trace is written in.
+    start : tuple of object
+        Events at time 0 before the first step.
     """
     player = _Player(trace, decide, codec)
     playing = _Playing(state, {}, {}, (), ())
+    for event in start:
+        playing = player.feed(playing, event, 0.0, Place(trace.source, 1))
     for step in trace.steps:
         playing = player.step(playing, step)
     return TraceResult(trace, playing.differences, playing.effect_count)
@@ -95,7 +105,7 @@
                 break
             rest = {name: due for name, due in playing.timers.items() if name != timer_id}
             fired = replace(playing, timers=rest)
-            playing = self._feed(fired, TimerFired(timer_id), at_ms, place)
+            playing = self.feed(fired, TimerFired(timer_id), at_ms, place)
         return playing
 
     def _feed_plain(
@@ -106,9 +116,9 @@
         except (CodecError, KeyError) as error:
             expected = f"an event that can be read and whose names are bound, got {error}"
             return _add_difference(playing, Difference(place, expected, ()))
-        return self._feed(playing, message, at_ms, place)
+        return self.feed(playing, message, at_ms, place)
 
-    def _feed(self, playing: _Playing, event: object, at_ms: float, place: Place) -> _Playing:
+    def feed(self, playing: _Playing, event: object, at_ms: float, place: Place) -> _Playing:
         decided = self.decide(playing.state, event, at_ms)
         timers = dict(playing.timers)
         for effect in decided.effects:
--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -9,6 +9,7 @@
 from savoryarch.exceptions import FindingsError
 from savoryarch.membership import MembershipSettings
 from savoryarch.orders import OrdersSettings
+from savoryarch.quarantine import QuarantineSettings
 from savoryarch.search import SearchSettings
 from savoryarch.settings._sections import (
     CallersSettings,
@@ -48,6 +49,7 @@
     search: SearchSettings
     orders: OrdersSettings
     admission: AdmissionSettings
+    quarantine: QuarantineSettings
     membership: MembershipSettings
     shutdown: ShutdownSettings
     configuration: ConfigurationSettings
--- /dev/null
+++ b/savoryarch/tier/_messages.py
@@ -0,0 +1,5 @@
+"""Messages between instances that are defined by their subjects instead of the model."""
+
+from savoryarch.quarantine import CrashReported, QuarantineDeclared, ReplyReported
+
+SUBJECT_MESSAGES: tuple[type, ...] = (CrashReported, QuarantineDeclared, ReplyReported)
--- a/savoryarch/tier/_state.py
+++ b/savoryarch/tier/_state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from savoryarch.admission import AdmissionSettings
 from savoryarch.configuration import (
     ConfigurationSettings,
     ConfigurationState,
@@ -11,6 +12,7 @@
 from savoryarch.model import RecordCodec
 from savoryarch.notices import NoticesState
 from savoryarch.orders import OrdersSettings, OrdersState, make_orders_state
+from savoryarch.quarantine import QuarantineSettings
 from savoryarch.search import SearchSettings, SearchState, make_search_state
 from savoryarch.shutdown import ShutdownSettings, ShutdownState, make_shutdown_state
 from savoryarch.targets import TargetsSettings, TargetsState, make_targets_state
@@ -37,6 +39,8 @@
     incarnation: int
     targets: TargetsSettings
     search: SearchSettings = field(default_factory=SearchSettings)
+    admission: AdmissionSettings = field(default_factory=AdmissionSettings)
+    quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
     orders: OrdersSettings = field(default_factory=OrdersSettings)
     configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
     membership: MembershipSettings = field(default_factory=MembershipSettings)
@@ -83,7 +87,7 @@
     return TierState(
         settings=settings,
         targets=make_targets_state(settings.targets),
-        search=make_search_state(settings.search),
+        search=make_search_state(settings.search, settings.admission, settings.quarantine),
         orders=make_orders_state(settings.orders, settings.instance_id, settings.incarnation),
         configuration=make_configuration_state(
             record_codec, settings.configuration, seed=settings.incarnation
