Prove the promises by traces, and make replays the same in every process

Cause: a first trace held in one run and differed in the next: a query's shards were sent in the order of an immutables.Map, which follows string hashes that Python draws anew per process. Conclusion: recorded traces can be trusted to replay.

--- a/savoryarch/codec/_messages.py
+++ b/savoryarch/codec/_messages.py
@@ -105,7 +105,8 @@
     )
     converter.register_unstructure_hook_func(
         lambda kind: kind is Map or get_origin(kind) is Map,
-        lambda values: {key: converter.unstructure(value) for key, value in values.items()},
+        # Sorted, since the order of a mapping differs between processes.
+        lambda values: {key: converter.unstructure(values[key]) for key in sorted(values)},
     )
     return converter
 
--- a/savoryarch/configuration/_status.py
+++ b/savoryarch/configuration/_status.py
@@ -13,6 +13,7 @@
     SetTimer,
     TellPeers,
 )
+from savoryarch.utils import in_order
 
 STATUS_TIMER = "configuration/status/"
 STATUS_TIMEOUT_MS = 500.0
@@ -37,7 +38,7 @@
         (state.heard[peer].at_ms if peer in state.heard else -1.0 for peer in state.peers),
         default=now_ms,
     )
-    for status_id, asked_at_ms in state.asked_status.items():
+    for status_id, asked_at_ms in in_order(state.asked_status):
         if oldest_ms >= asked_at_ms:
             answered = answer_status(decided.state, status_id, now_ms)
             decided = Decided(answered.state, decided.effects + answered.effects)
--- a/savoryarch/membership/_decide.py
+++ b/savoryarch/membership/_decide.py
@@ -40,6 +40,7 @@
     TellPeer,
     TimerFired,
 )
+from savoryarch.utils import in_order
 
 
 def decide_membership(
@@ -206,7 +207,7 @@
 ) -> Decided[MembershipState]:
     """Two instances cannot have one address: the one that started earlier is gone."""
     decided: Decided[MembershipState] = Decided(state)
-    for instance_id, member in state.members.items():
+    for instance_id, member in in_order(state.members):
         update = member.update
         if (
             instance_id != sender.instance_id
--- a/savoryarch/orders/_bucket.py
+++ b/savoryarch/orders/_bucket.py
@@ -37,6 +37,7 @@
 from savoryarch.orders._ownership import owned_buckets
 from savoryarch.orders._state import Bucket, Settled, Turn
 from savoryarch.orders._values import decode_bucket, encode_bucket
+from savoryarch.utils import in_order
 
 _MS_PER_S = 1000.0
 _BURST_S = 0.1  # writes that may be made at once, as time at the write rate
@@ -85,7 +86,7 @@
 
 def drop_submitted_by(turn: Turn, peer_id: str) -> Turn:
     """Forget the claims of a peer that is gone; its next incarnation asks anew."""
-    for bucket in turn.state.buckets.values():
+    for _, bucket in in_order(turn.state.buckets):
         gone = [item for item in bucket.submitted.values() if item.from_peer == peer_id]
         submitted = bucket.submitted
         for item in gone:
@@ -193,7 +194,7 @@
     """Tell the claims that came to something, and see what is left to write."""
     settings = turn.state.settings
     submitted = bucket.submitted
-    for item in submitted.values():
+    for _, item in in_order(submitted):
         found = resolve(bucket.value, item, settings)
         match found:
             case None:
@@ -214,7 +215,7 @@
 
 def _forget_recorded(turn: Turn, bucket: Bucket) -> tuple[Turn, Bucket]:
     settled = bucket.settled
-    for claimant, item in settled.items():
+    for claimant, item in in_order(settled):
         if is_settled(bucket.value, item.claim):
             settled = settled.delete(claimant)
             if item.from_peer:
@@ -281,7 +282,7 @@
     )
     if bucket.failures < settings.failures_before_refusal:
         return turn.put_bucket(bucket)
-    for item in bucket.submitted.values():
+    for _, item in in_order(bucket.submitted):
         turn = turn.report(item, ClaimFailed(str(cause)[:200], item.key_unused))
     return turn.put_bucket(replace(bucket, submitted=_NO_CLAIMS))
 
--- a/savoryarch/orders/_decide.py
+++ b/savoryarch/orders/_decide.py
@@ -44,6 +44,7 @@
 )
 from savoryarch.orders._state import Order, OrdersState, Settled, Turn
 from savoryarch.targets import TargetsState, end_attempt
+from savoryarch.utils import in_order
 
 _PREFIX = "orders/"
 
@@ -201,10 +202,10 @@
         turn = drop_submitted_by(turn, peer_id)
         if peer_id in turn.state.outboxes:
             turn = turn.change(outboxes=turn.state.outboxes.delete(peer_id))
-    for order in turn.state.orders.values():
+    for _, order in in_order(turn.state.orders):
         if order.writers and order.writers[-1] in gone:
             turn = step_order(turn, order, "writer_failed")
-    for claimant, item in turn.state.relayed.items():
+    for claimant, item in in_order(turn.state.relayed):
         if item.owner in gone:
             relayed = turn.state.relayed.delete(claimant)
             turn = record_outcome(turn.change(relayed=relayed), item.settled)
@@ -213,7 +214,7 @@
 
 def _record_overdue(turn: Turn) -> Turn:
     """Record the outcomes here that an owner did not record in time."""
-    for claimant, item in turn.state.relayed.items():
+    for claimant, item in in_order(turn.state.relayed):
         if item.due_at_ms <= turn.now_ms:
             turn = turn.change(relayed=turn.state.relayed.delete(claimant))
             turn = settle_claim(turn, item.settled)
--- a/savoryarch/quarantine/_decide.py
+++ b/savoryarch/quarantine/_decide.py
@@ -9,7 +9,7 @@
 from savoryarch.model import Count, Decided, LogEvent, TellPeers
 from savoryarch.quarantine._messages import CrashReported, QuarantineDeclared, ReplyReported
 from savoryarch.quarantine._state import InFlight, Mark, QuarantineState, Record
-from savoryarch.utils import heap_pop, heap_push
+from savoryarch.utils import heap_pop, heap_push, in_order
 
 _MAX_LEAD = 10  # of replies over crashes
 _NO_MARK = Mark()
@@ -177,7 +177,7 @@
     """Return what a peer that has just started should be told."""
     return tuple(
         QuarantineDeclared(fingerprint, record.quarantined_until_ms - now_ms)
-        for fingerprint, record in state.records.items()
+        for fingerprint, record in in_order(state.records)
         if record.quarantined_until_ms > now_ms
     )
 
--- a/savoryarch/search/_query_chart.py
+++ b/savoryarch/search/_query_chart.py
@@ -31,6 +31,7 @@
 from savoryarch.search._state import Purpose, Shard
 from savoryarch.search._turn import Turn, emit
 from savoryarch.targets import can_serve
+from savoryarch.utils import in_order
 
 DUE_TIMER = "search/due/"
 EARLY_TIMER = "search/early/"
@@ -99,8 +100,10 @@
     turn = conclude(_leave_out_unserved(turn))
     if is_finished(turn):
         return turn
-    for service in turn.query.pending:
-        turn = _start_shard(turn, service)
+    # In declared order: the order of a mapping differs between processes, and a replay must not.
+    for service in turn.query.services:
+        if service in turn.query.pending:
+            turn = _start_shard(turn, service)
     return emit(turn, *_timers(turn))
 
 
@@ -142,7 +145,7 @@
 
 
 def _cancel_attempts(turn: Turn) -> Turn:
-    for shard in turn.query.pending.values():
+    for _, shard in in_order(turn.query.pending):
         for attempt_id in shard.attempt_ids:
             turn = cancel_attempt(turn, attempt_id)
     return emit(
@@ -155,7 +158,7 @@
 
 def _leave_out_pending(turn: Turn) -> Turn:
     """Leave out what is pending when the answer is due."""
-    for service, shard in turn.query.pending.items():
+    for service, shard in in_order(turn.query.pending):
         waits = not shard.attempt_ids
         reason = LeftOutReason.REFUSED if waits else LeftOutReason.LATE
         for attempt_id in shard.attempt_ids:
--- a/savoryarch/targets/_decide.py
+++ b/savoryarch/targets/_decide.py
@@ -27,6 +27,7 @@
 from savoryarch.targets._life import DRAINING, LIVE, Lived, apply_sign, put_record
 from savoryarch.targets._limits import connection_share, first_limit
 from savoryarch.targets._state import ServiceRecord, TargetRecord, TargetsState, TargetUse
+from savoryarch.utils import in_order
 
 PROBE_TIMER = "targets/probe"
 
@@ -66,7 +67,7 @@
     records: Map[str, TargetRecord] = Map()
     uses: Map[str, TargetUse] = Map()
     services: Map[str, ServiceRecord] = Map()
-    for service in declarations.services.values():
+    for _, service in in_order(declarations.services):
         for target in service.targets:
             record = _declared_record(state, service, target)
             records = records.set(target.target_id, record)
@@ -74,7 +75,7 @@
             if state.records.get(target.target_id) != record:
                 effects += _connections(state, record)
         services = services.set(service.name, _declared_service(state, service, records))
-    gone = [target_id for target_id in state.records if target_id not in records]
+    gone = sorted(target_id for target_id in state.records if target_id not in records)
     effects += [LimitConnections(target_id, 0) for target_id in gone]
     effects.append(SetTimer(PROBE_TIMER, now_ms + state.settings.probe_retry_ms))
     state = replace(
@@ -196,7 +197,7 @@
     """Read the signs in the platform's list; a target that is missing is probed, not dropped."""
     effects: list[object] = []
     rows = {row.instance_id: row for row in instances if row.role is InstanceRole.TARGET}
-    for target_id, record in state.records.items():
+    for target_id, record in in_order(state.records):
         row = rows.get(target_id)
         if row is not None and row.state is ListedState.LEAVING:
             decided = _sign(state, TargetSigned(target_id, Sign.LISTED_LEAVING), now_ms)
@@ -214,7 +215,7 @@
     """Probe targets that get no work, and those in doubt more often."""
     settings = state.settings
     effects: list[object] = []
-    for target_id, record in state.records.items():
+    for target_id, record in in_order(state.records):
         quiet_ms = now_ms - max(state.uses[target_id].replied_at_ms, record.heard_at_ms)
         if record.life != LIVE or quiet_ms >= settings.probe_interval_ms:
             effects.append(ProbeTarget(target_id))
--- a/savoryarch/utils/__init__.py
+++ b/savoryarch/utils/__init__.py
@@ -4,6 +4,7 @@
 from savoryarch.utils._findings import Finding, Place, format_findings
 from savoryarch.utils._heap import Heap, heap_pop, heap_push
 from savoryarch.utils._ini import IniDocument, IniEntry, IniSection, read_ini
+from savoryarch.utils._order import in_order
 from savoryarch.utils._validation import (
     NAME,
     PORT,
@@ -43,6 +44,7 @@
     "Words",
     "entry_value",
     "format_findings",
+    "in_order",
     "heap_pop",
     "heap_push",
     "make_system_clock",
--- /dev/null
+++ b/savoryarch/utils/_order.py
@@ -0,0 +1,21 @@
+"""Iteration in an order that does not depend on the process."""
+
+from collections.abc import Mapping
+from operator import itemgetter
+from typing import Any, TypeVar
+
+Key = TypeVar("Key")
+Value = TypeVar("Value")
+
+_by_key: Any = itemgetter(0)
+
+
+def in_order(mapping: Mapping[Key, Value]) -> list[tuple[Key, Value]]:
+    """Return the items of a mapping by ascending key.
+
+    Notes
+    -----
+    Python draws the hashes of strings anew in each process, and with them the order of an
+    ``immutables.Map``. Decisions whose effects follow that order could not be replayed.
+    """
+    return sorted(mapping.items(), key=_by_key)
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,47 @@
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from savoryarch.replay import replay_file
+
+FOLDER = Path(__file__).parent.parent / "traces"
+TRACES = sorted(FOLDER.glob("*.trace"))
+PRINT_EFFECTS = """
+import sys
+from pathlib import Path
+from savoryarch.replay import _player, replay_file
+
+feed = _player._Player.feed
+
+def feed_and_print(self, playing, event, at_ms, place):
+    after = feed(self, playing, event, at_ms, place)
+    print(at_ms, type(event).__name__, after.recent)
+    return after
+
+_player._Player.feed = feed_and_print
+for path in sys.argv[1:]:
+    replay_file(Path(path))
+"""
+
+
+@pytest.mark.parametrize("path", TRACES, ids=lambda path: path.stem)
+def test_trace_holds(path):
+    assert replay_file(path).differences == ()
+
+
+def print_effects(hash_seed):
+    return subprocess.run(
+        [sys.executable, "-c", PRINT_EFFECTS, *map(str, TRACES)],
+        env={"PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(FOLDER.parent)},
+        capture_output=True,
+        check=True,
+        timeout=60,
+    ).stdout
+
+
+def test_replay_is_the_same_in_every_process():
+    first = print_effects("1")
+    assert first
+    assert print_effects("2") == first == print_effects("3")
