Prove the configuration through failures, one by one and with each guard taken away

Cause: acceptance right before an outage, lost replies, races, cuts and a restored store must neither revert a configuration nor keep it from an instance. Conclusion: a delta that did not fit was taken for a malformed one before; it is asked for again.

--- a/savoryarch/configuration/_evaluate.py
+++ b/savoryarch/configuration/_evaluate.py
@@ -74,7 +74,7 @@
     if earlier := find_change(stored, change_id):
         return Committed(earlier)
     settles = [change for change in changes if isinstance(change, SettleRestore)]
-    if stored.generation < asked_version.generation or not descends(stored, asked_version):
+    if is_restored(stored, asked_version):
         if len(settles) == 1 == len(changes):
             return Proposal(_settle(change_id, settles[0].choice, stored, in_force))
         return ChangeBlocked(stored.generation, in_force.generation)
@@ -93,6 +93,11 @@
     return Proposal(commit_declarations(stored, declarations, version))
 
 
+def is_restored(stored: ConfigurationRecord, asked_version: ConfigurationVersion) -> bool:
+    """Return whether the store lacks a version that was in force before it was read."""
+    return stored.generation < asked_version.generation or not descends(stored, asked_version)
+
+
 def check_size(value: bytes) -> ChangeOutcome | None:
     """Return the outcome if a record is too large for the store."""
     if len(value) <= MAX_VALUE_BYTES:
--- a/savoryarch/configuration/_record.py
+++ b/savoryarch/configuration/_record.py
@@ -153,11 +153,16 @@
     return ConfigurationDelta(base, watched.puts, watched.deletes, history)
 
 
+def fits(record: ConfigurationRecord, delta: ConfigurationDelta) -> bool:
+    """Return whether `delta` holds everything that `record` lacks."""
+    return record.version == delta.base or record.version in delta.history
+
+
 def apply_delta(
     record: ConfigurationRecord, delta: ConfigurationDelta
 ) -> ConfigurationRecord | None:
     """Return `record` brought to the version of `delta`; None if the delta does not fit."""
-    if record.version != delta.base and record.version not in delta.history:
+    if not fits(record, delta):
         return None
     declarations = record.declarations
     revisions = record.revisions
--- a/savoryarch/configuration/_spreading.py
+++ b/savoryarch/configuration/_spreading.py
@@ -88,7 +88,7 @@
     if theirs.generation > ours.generation:
         return Decided(state, (TellPeer(peer_id, ConfigurationWanted(ours)),))
     if theirs.generation < ours.generation:
-        return _send_since(state, peer_id, theirs)
+        return _send_since(_note_split(state, theirs), peer_id, theirs)
     return Decided(_note_split(state, theirs))
 
 
@@ -215,12 +215,12 @@
     delta = state.codec.decode_delta(payload)
     if delta is None:
         return _take_or_refuse(state, None, peer_id)
+    record = apply_delta(state.record, delta)
+    if record is not None:
+        return take_record(state, record, peer_id)
     if delta.base.generation > state.record.generation:
         return Decided(state, (TellPeer(peer_id, ConfigurationWanted(state.record.version)),))
-    record = apply_delta(state.record, delta)
-    if record is None:
-        return Decided(replace(state, split_version=said.version))
-    return take_record(state, record, peer_id)
+    return Decided(replace(state, split_version=said.version))
 
 
 def _take_or_refuse(
@@ -232,8 +232,10 @@
 
 
 def _note_split(state: ConfigurationState, version: ConfigurationVersion) -> ConfigurationState:
-    ours = state.record.version
-    if version.generation == ours.generation and version != ours:
+    """Note a version that has the generation of one that is known here, but is another."""
+    history = state.record.history
+    known = any(item.generation == version.generation for item in history)
+    if known and version not in history:
         return replace(state, split_version=version)
     return state
 
--- a/savoryarch/configuration/tests/fleet.py
+++ b/savoryarch/configuration/tests/fleet.py
@@ -46,6 +46,8 @@
 PEER_MS = 1.0
 STORE_TIMEOUT_MS = 1000.0
 LATE_WRITE_MS = 2500.0
+WATCH_LAG_MS = 50.0
+ANY_REVISION = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,7 @@
         self.states = {}
         self.groups = {}
         self.store_groups = {0}
+        self.store_only = None
         self.loss = 0.0
         self.reply_loss = 0.0
         self.late_writes = 0.0
@@ -84,6 +87,7 @@
         self.queue = []
         self.timers = {}
         self.answers = {}
+        self.kill_when_answered = set()
         self.statuses = {}
         self.in_force = {}
         self.notices = {}
@@ -178,8 +182,16 @@
                 self.store_calls += 1
                 delay_ms = STORE_MS * (0.5 + self.random.random())
                 self.later(delay_ms, "store", (instance_id, effect))
+            case _:
+                self.note(instance_id, effect)
+
+    def note(self, instance_id, effect):
+        """Keep what operators and the other decisions are told."""
+        match effect:
             case AnswerChange(change_id=change_id, outcome=outcome):
                 self.answers[change_id] = (outcome, self.now_ms, instance_id)
+                if change_id in self.kill_when_answered:
+                    self.kill(instance_id)
             case AnswerStatus(status_id=status_id, status=status):
                 self.statuses[status_id] = status
             case RaiseNotice(notice=notice):
@@ -228,7 +240,7 @@
                 self.later(LATE_WRITE_MS, "store", (instance_id, call, True))
                 unreachable = StoreUnreachable("no reply in time")
                 self.reply(instance_id, call, unreachable, STORE_TIMEOUT_MS)
-            case SwapKey() if call.expected_revision != revision:
+            case SwapKey() if call.expected_revision not in (ANY_REVISION, revision):
                 self.reply(instance_id, call, SwapConflict(call.key, revision))
             case SwapKey():
                 self.write(call.value)
@@ -242,8 +254,7 @@
         self.backups.append(self.value)
         waiters, self.waiters = self.waiters, []
         for waiter in waiters:
-            change = KeyChange("configuration/current", value, self.revision)
-            self.reply(waiter.instance_id, waiter.call, KeysChanged((change,), self.revision))
+            self.later(WATCH_LAG_MS, "store", (waiter.instance_id, waiter.call))
 
     def end_watch(self, waiter):
         if waiter in self.waiters:
@@ -251,6 +262,8 @@
             self.reply(waiter.instance_id, waiter.call, KeysChanged((), self.revision))
 
     def is_reachable(self, instance_id):
+        if self.store_only is not None:
+            return instance_id in self.store_only
         return self.groups.get(instance_id, "gone") in self.store_groups
 
     def reply(self, instance_id, call, reply, delay_ms=STORE_MS, loses=False):
--- /dev/null
+++ b/savoryarch/configuration/tests/test_guards.py
@@ -0,0 +1,13 @@
+import pytest
+
+from savoryarch.configuration.tests.guards import GUARDS, run_proof
+
+CASES = [(guard, proof) for guard in GUARDS for proof in guard.proofs]
+
+
+@pytest.mark.parametrize(
+    ("guard", "proof"), CASES, ids=[f"{guard.name}/{proof}" for guard, proof in CASES]
+)
+def test_proof_fails_without_the_guard(guard, proof):
+    with guard.taken_away(), pytest.raises((AssertionError, KeyError)):
+        run_proof(proof)
--- a/savoryarch/configuration/tests/test_properties.py
+++ b/savoryarch/configuration/tests/test_properties.py
@@ -6,14 +6,25 @@
 from hypothesis import strategies as st
 
 from savoryarch.configuration.tests.fleet import Fleet
-from savoryarch.model import Caller, ChangeAccepted, PutResource
+from savoryarch.model import (
+    Caller,
+    ChangeAccepted,
+    DeleteResource,
+    Kind,
+    PutResource,
+    ResourceKey,
+)
+from savoryarch.resources import RECORD_CODEC
 
 INSTANCES = 4
 HEAL_MS = 5_000.0
 SETTLE_MS = 8_000.0
 
+ASK = st.tuples(st.just("ask"), st.integers(0, 9), st.integers(0, 3))
 ACTIONS = st.one_of(
-    st.tuples(st.just("ask"), st.integers(0, 9), st.integers(0, 3)),
+    ASK,
+    ASK,
+    st.tuples(st.just("delete"), st.integers(0, 9), st.integers(0, 3)),
     st.tuples(st.just("run"), st.sampled_from([1, 7, 40, 600, 2500])),
     st.tuples(st.just("cut"), st.lists(st.integers(0, 2), min_size=10, max_size=10)),
     st.tuples(st.just("meet")),
@@ -33,6 +44,9 @@
             case "ask", [which, resource]:
                 caller = Caller(f"caller-{resource}", 1.0 + number)
                 fleet.ask(ids[which % len(ids)], f"change-{number}", PutResource(caller))
+            case "delete", [which, resource]:
+                key = ResourceKey(Kind.CALLER, f"caller-{resource}")
+                fleet.ask(ids[which % len(ids)], f"change-{number}", DeleteResource(key))
             case "run", [for_ms]:
                 fleet.run(for_ms)
             case "cut", [groups]:
@@ -59,14 +73,7 @@
     fleet.cut(lambda instance_id: 0)
 
 
-@settings(
-    max_examples=60,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=[HealthCheck.too_slow],
-)
-@given(st.integers(0, 2**16), st.lists(ACTIONS, min_size=5, max_size=40))
-def test_configuration_under_random_faults(seed, actions):
+def check_history(seed, actions):
     fleet = Fleet(seed)
     for number in range(INSTANCES):
         fleet.start(f"entry-{number}")
@@ -81,9 +88,27 @@
     check_answers(fleet, actions)
 
 
+SETTINGS = settings(
+    max_examples=200,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+HISTORIES = given(st.integers(0, 2**16), st.lists(ACTIONS, min_size=10, max_size=60))
+
+test_configuration_under_random_faults = SETTINGS(HISTORIES(check_history))
+
+
 def check_in_force_everywhere(fleet):
     newest = max(fleet.committed, default=0)
     assert {state.record.generation for state in fleet.states.values()} == {newest}
+    if newest:
+        stored = RECORD_CODEC.decode_record(fleet.value[0])
+        assert all(
+            (state.record.declarations, state.record.revisions)
+            == (stored.declarations, stored.revisions)
+            for state in fleet.states.values()
+        )
 
 
 def check_generations(fleet):
@@ -99,7 +124,11 @@
         if isinstance(outcome, ChangeAccepted) and outcome.changed:
             assert owners[change_id] == outcome.generation
         assert change_id not in owners or not is_definite_refusal(outcome)
-    asked = {f"change-{number}" for number, action in enumerate(actions) if action[0] == "ask"}
+    asked = {
+        f"change-{number}"
+        for number, action in enumerate(actions)
+        if action[0] in ("ask", "delete")
+    }
     unanswered = {item.change_id for name in living for item in fleet.states[name].changes}
     assert not unanswered & asked
 
--- a/savoryarch/configuration/tests/test_scenarios.py
+++ b/savoryarch/configuration/tests/test_scenarios.py
@@ -1,5 +1,7 @@
 """Failures one by one: what is in force afterwards, and what the operators are told."""
 
+from itertools import pairwise
+
 import pytest
 
 from savoryarch.configuration.tests.fleet import Fleet
@@ -21,8 +23,8 @@
 TAKE = SettleRestore(RestoreChoice.TAKE_STORED)
 
 
-def put(weight, name="portal"):
-    return PutResource(Caller(name, weight))
+def put(weight, name="portal", expected_revision=None):
+    return PutResource(Caller(name, weight), expected_revision)
 
 
 class Play:
@@ -41,9 +43,11 @@
     def run(self, for_ms):
         self.fleet.run(for_ms)
 
-    def run_until_answered(self, change_id):
-        while change_id not in self.fleet.answers:
-            self.fleet.run(1.0)
+    def kill_when_answered(self, change_id):
+        self.fleet.kill_when_answered.add(change_id)
+
+    def lose_messages(self, share):
+        self.fleet.loss = share
 
     def kill(self, number):
         self.fleet.kill(f"entry-{number}")
@@ -61,6 +65,16 @@
     def store(self, *groups):
         self.fleet.store_groups = set(groups)
 
+    def store_only_for_a_follower(self):
+        watching = ("watching", "waiting")
+        self.fleet.store_only = {
+            min(
+                name
+                for name, state in self.fleet.states.items()
+                if state.store.chart_state not in watching
+            )
+        }
+
     def lose_replies(self, share):
         self.fleet.reply_loss = share
 
@@ -82,6 +96,10 @@
         for state in self.fleet.states.values():
             assert state.record.declarations.callers["portal"].weight == weight
 
+    def expect_same(self):
+        first, *others = (state.record.declarations for state in self.fleet.states.values())
+        assert all(other == first for other in others)
+
     def expect_notices(self, *notices):
         for instance_id in self.fleet.states:
             assert self.fleet.notices.get(instance_id, set()) == set(notices), instance_id
@@ -101,18 +119,39 @@
 GROWN = [*CALM, ("ask", 1, "c2", put(2.0)), ("run", 1000), ("expect_in_force", 2)]
 
 SCENARIOS = {
+    "a change in calm": [("ask", 0, "c1", put(1.0)), ("run", 40), ("expect_in_force", 1)],
     "store out and the accepting instance gone right after acceptance": [
+        ("kill_when_answered", "c1"),
         ("ask", 0, "c1", put(1.0)),
-        ("run_until_answered", "c1"),
-        ("expect_outcome", "c1", ChangeAccepted),
+        ("run", 16),
         ("store",),
-        ("kill", 0),
         ("run", 5000),
+        ("expect_outcome", "c1", ChangeAccepted),
         ("expect_in_force", 1),
     ],
+    "messages between peers are lost": [
+        *CALM,
+        ("lose_messages", 1.0),
+        ("ask", 0, "c2", put(2.0)),
+        ("run", 1000),
+        ("store",),
+        ("lose_messages", 0.0),
+        ("run", 3000),
+        ("expect_in_force", 2),
+    ],
+    "one push is lost and the next one arrives": [
+        ("lose_messages", 1.0),
+        ("ask", 0, "c1", put(1.0, "a")),
+        ("ask", 0, "c2", put(1.0, "b")),
+        ("run", 250),
+        ("lose_messages", 0.0),
+        ("run", 150),
+        ("expect_in_force", 2),
+        ("expect_same",),
+    ],
     "the reply to the write is lost": [
         ("lose_replies", 1.0),
-        ("ask", 0, "c1", put(1.0)),
+        ("ask", 0, "c1", put(1.0, expected_revision=0)),
         ("run", 4000),
         ("expect_outcome", "c1", ChangeAccepted),
         ("expect_in_force", 1),
@@ -261,6 +300,40 @@
         ("expect_weight", 2.0),
         ("expect_notices",),
     ],
+    "the store is restored and an instance that knows of nothing else changes it twice": [
+        *GROWN,
+        ("cut_off", 9),
+        ("start", 9, 1),
+        ("store", 1),
+        ("restore", 0),
+        ("run", 3000),
+        ("ask", 9, "fork", put(9.0)),
+        ("run", 1000),
+        ("ask", 9, "fork-2", put(10.0)),
+        ("run", 1000),
+        ("expect_in_force", 3, 9),
+        ("cut_off",),
+        ("store", 0),
+        ("run", 5000),
+        ("expect_in_force", 2, 0, 1, 2, 3),
+        ("expect_notices", RESTORED),
+        ("ask", 0, "c4", KEEP),
+        ("run", 5000),
+        ("expect_in_force", 4),
+        ("expect_weight", 2.0),
+        ("expect_notices",),
+    ],
+    "only an instance that does not watch reaches the store": [
+        *CALM,
+        ("delay_writes", 1.0),
+        ("ask", 0, "c2", put(2.0)),
+        ("run", 20),
+        ("kill", 0),
+        ("meet",),
+        ("store_only_for_a_follower",),
+        ("run", 10_000),
+        ("expect_in_force", 2),
+    ],
     "nothing was restored, so there is nothing to decide": [
         *CALM,
         ("ask", 0, "c2", KEEP),
@@ -275,3 +348,5 @@
     play = Play()
     for step, *arguments in SCENARIOS[name]:
         getattr(play, step)(*arguments)
+    for generations in play.fleet.in_force.values():
+        assert all(before < after for before, after in pairwise(generations))
