Hedge again after a shed, and meet sheds without the extra-load budget

Cause (traces of the slowest searches of the load tool, 4 instances over targets of 2 slots): the shed of a hedge was not followed up until twice the delay had passed; sheds used the budget up, though nothing had run, so that only 1.1% of hedges were sent (p99 370 ms, best fixed delay 83 ms); one overdue attempt per spell and trial was too little to leave a slow target; admission began at 64 sub-requests, four times an instance's share of the slots. Change: what did not run costs no budget; a hedge without room is tried again after room_wait_ms; a third replica is asked when the second is late as well; an attempt far beyond the tail marks its target as suspect at once, and the trial of a suspect is hedged at the median; the in-flight requests of others, seen by sheds, count in the choice; admission starts from twice the share of the slots. Ruled out: an initial limit of exactly the share, which made searches of calm times wait for admission (20 to 30 ms).

--- a/savoryarch/search/_attempt_chart.py
+++ b/savoryarch/search/_attempt_chart.py
@@ -35,6 +35,7 @@
     cancel_attempt,
     choose,
     count_retry,
+    give_back,
     pay,
     pinned_snapshot,
     send_attempt,
@@ -46,7 +47,6 @@
     FixedDelayHedging,
     FixedRetries,
     NoHedging,
-    QuantileHedging,
 )
 from savoryarch.search._snapshots import best_snapshot
 from savoryarch.search._state import Attempt, Purpose, Shard
@@ -55,6 +55,7 @@
 
 Action = Callable[[Turn, Attempt], Turn]
 
+_SHED = "shed"
 _WAITED = "waited"
 
 
@@ -107,23 +108,36 @@
     service = attempt.service
     shard = turn.query.pending[service]
     hedging = turn.state.settings.hedging
-    if len(shard.attempt_ids) > 1 or service in turn.state.waiting:
+    if isinstance(hedging, NoHedging) or not _is_newest_overdue(turn, shard):
         return turn
-    match hedging:
-        case NoHedging():
-            return turn
-        case FixedDelayHedging() | QuantileHedging():
-            target_id = choose(turn, service, shard.tried)
+    target_id = None if service in turn.state.waiting else choose(turn, service, shard.tried)
     if target_id is None:
-        return turn
+        return _check_again(turn, service, turn.state.settings.room_wait_ms)
     paid = turn if isinstance(hedging, FixedDelayHedging) else pay(turn)
     if paid is None:
-        shard = replace(shard, check_at_ms=turn.now_ms + slow_after_ms(turn, service) / 4)
-        return put_shard(emit(turn, Count("budget_spent", "hedge")), service, shard)
+        turn = emit(turn, Count("budget_spent", "hedge"))
+        return _check_again(turn, service, slow_after_ms(turn, service, attempt.target_id) / 4)
     turn = count_retry(paid, "hedge")
     return send_attempt(turn, service, shard, target_id, Purpose.HEDGE)
 
 
+def _is_newest_overdue(turn: Turn, shard: Shard) -> bool:
+    """Return whether the last attempt that was sent has had its time as well."""
+    if len(shard.attempt_ids) == 1:
+        return True
+    newest = turn.state.attempts[shard.attempt_ids[-1]]
+    patience_ms = slow_after_ms(turn, newest.service, newest.target_id)
+    return turn.now_ms - newest.begun_at_ms >= patience_ms
+
+
+def _check_again(turn: Turn, service: str, after_ms: float) -> Turn:
+    """Judge the slowness of a shard again before twice the time has passed."""
+    shard = turn.query.pending[service]
+    check_at_ms = min(shard.check_at_ms, turn.now_ms + after_ms)
+    turn = put_shard(turn, service, replace(shard, check_at_ms=check_at_ms))
+    return arm_check(turn, check_at_ms)
+
+
 def _deliver(turn: Turn, attempt: Attempt) -> Turn:
     """Add the part to the answer and cancel what else was asked for it."""
     query = turn.query
@@ -163,7 +177,7 @@
     if quarantined_for_ms(turn) is not None:
         return _refuse_quarantined(turn)
     if shard.attempt_ids:
-        return turn
+        return _hedge_again(turn, attempt, ended)
     due_at_ms = turn.query.deadline_at_ms - turn.state.settings.answer_margin_ms
     if reason is LeftOutReason.LATE or turn.now_ms >= due_at_ms:
         return conclude(leave_out(turn, attempt.service, reason))
@@ -172,6 +186,14 @@
     return conclude(_retry(turn, attempt.service, shard, reason))
 
 
+def _hedge_again(turn: Turn, attempt: Attempt, ended: AttemptEnded) -> Turn:
+    """Ask another replica at once if a hedge was shed, or soon if none has room."""
+    if attempt.purpose is not Purpose.HEDGE or not isinstance(ended.reply, Shed):
+        return turn
+    shard = turn.query.pending[attempt.service]
+    return _hedge(turn, turn.state.attempts[shard.attempt_ids[0]])
+
+
 def _refuse_quarantined(turn: Turn) -> Turn:
     """Refuse a query that was found to crash targets while it ran."""
     query = replace(
@@ -197,6 +219,8 @@
     if cannot_have_run(ended.reply):
         query = replace(turn.query, may_have_run=turn.query.may_have_run - 1)
         turn = replace(turn, query=query)
+        if attempt.purpose in (Purpose.HEDGE, Purpose.RETRY):
+            turn = give_back(turn)
     match ended.reply:
         case Shed():
             return replace(turn, query=replace(turn.query, sheds=turn.query.sheds + 1))
@@ -210,12 +234,15 @@
 
 
 def _retry_shed(turn: Turn, service: str, shard: Shard) -> Turn:
-    """Ask another replica at once if the budget allows it; else wait until the pause is over."""
+    """Ask another replica at once, or wait until the pause is over.
+
+    Nothing ran, so that it costs no extra load; a target that shed is paused, so that a shard
+    asks each replica once and then waits.
+    """
     target_id = choose(turn, service, shard.tried)
-    paid = _pay_retry(turn, shard) if target_id is not None else None
-    if target_id is None or paid is None:
+    if target_id is None:
         return wait_for_room(turn, service, shard)
-    return _send_retry(paid, service, shard, target_id, "shed")
+    return _send_retry(turn, service, shard, target_id, _SHED)
 
 
 def _retry(turn: Turn, service: str, shard: Shard, reason: LeftOutReason) -> Turn:
@@ -240,9 +267,10 @@
 
 
 def _send_retry(turn: Turn, service: str, shard: Shard, target_id: str, reason: str) -> Turn:
-    if reason != _WAITED:
-        shard = replace(shard, retries=shard.retries + 1)
     turn = count_retry(turn, reason)
+    if reason in (_SHED, _WAITED):
+        return send_attempt(turn, service, shard, target_id, Purpose.RESEND)
+    shard = replace(shard, retries=shard.retries + 1)
     return send_attempt(turn, service, shard, target_id, Purpose.RETRY)
 
 
--- a/savoryarch/search/_decide.py
+++ b/savoryarch/search/_decide.py
@@ -1,5 +1,6 @@
 """Decides on searches: admission, replies, timers and the end of each query."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -51,6 +52,7 @@
 
 DecidedSearch = DecidedOnTargets[SearchState, TargetsState]
 
+_BURST_RATIO = 2.0  # bursts of the instances seldom coincide
 _ANY_SEARCH = Search("", (), 0.0)
 
 
@@ -95,9 +97,7 @@
         case CallerGone(request_id=request_id):
             return _on_query(state, targets, request_id, now_ms, _leave_caller)
         case DeclarationsInForce(declarations=declarations):
-            return DecidedOnTargets(
-                replace(state, declarations=declarations, chosen=Map()), targets
-            )
+            return DecidedOnTargets(_declare(state, targets, declarations), targets)
         case PeerSaid(message=message):
             heard = hear_peer(state.quarantine, message, now_ms)
             return DecidedOnTargets(replace(state, quarantine=heard.state), targets, heard.effects)
@@ -109,6 +109,18 @@
             return DecidedOnTargets(state, targets)
 
 
+def _declare(state: SearchState, targets: TargetsState, declarations: Declarations) -> SearchState:
+    """Take the declarations over; admission starts from this instance's share of the slots."""
+    slots: Counter[str] = Counter()
+    for service in declarations.services.values():
+        slots[service.group] += service.slots * len(service.targets)
+    admission = state.admission
+    if slots:
+        share = max(1.0, _BURST_RATIO * min(slots.values()) / targets.live_instances)
+        admission = replace(admission, settings=replace(admission.settings, initial_limit=share))
+    return replace(state, declarations=declarations, chosen=Map(), admission=admission)
+
+
 def _meet_peers(
     state: SearchState, targets: TargetsState, live: frozenset[str], now_ms: float
 ) -> DecidedSearch:
--- a/savoryarch/search/_sending.py
+++ b/savoryarch/search/_sending.py
@@ -16,7 +16,7 @@
 from savoryarch.search._settings import FixedDelayHedging, NoHedging, QuantileHedging
 from savoryarch.search._state import Attempt, Purpose, SearchState, Shard
 from savoryarch.search._turn import Turn, emit, put_shard
-from savoryarch.targets import begin_attempt, choose_target
+from savoryarch.targets import begin_attempt, choose_target, is_suspect
 
 ROOM_TIMER = "search/room/"
 SLOW_TIMER = "search/slow/"
@@ -61,7 +61,7 @@
         snapshot=snapshot,
         begun_at_ms=now_ms,
     )
-    check_at_ms = now_ms + slow_after_ms(turn, service)
+    check_at_ms = now_ms + slow_after_ms(turn, service, target_id)
     if shard.attempt_ids:
         check_at_ms = min(check_at_ms, shard.check_at_ms)
     shard = replace(
@@ -104,10 +104,11 @@
     return emit(turn, SetTimer(SLOW_TIMER + query.request_id, at_ms))
 
 
-def slow_after_ms(turn: Turn, service: str) -> float:
+def slow_after_ms(turn: Turn, service: str, target_id: str) -> float:
     """Return how long an attempt may take before it counts as slow.
 
-    The delay grows as the budget empties, so that it is spent on the slowest attempts.
+    The delay grows as the budget empties, so that it is spent on the slowest attempts. An attempt
+    that tries a slow target again gets little time.
     """
     hedging = turn.state.settings.hedging
     match hedging:
@@ -120,6 +121,8 @@
     known = turn.targets.services[service].histogram
     if known.samples < hedging.least_samples:
         return hedging.first_delay_ms
+    if is_suspect(turn.targets.uses[target_id]):
+        return known.median_ms
     return known.tail_ms * (2.0 - _budget_level(turn))
 
 
@@ -139,6 +142,13 @@
     return replace(turn, state=replace(turn.state, budgets=turn.state.budgets.set(name, budget)))
 
 
+def give_back(turn: Turn) -> Turn:
+    """Put the price of an extra sub-request back, because nothing of it has run."""
+    name = turn.query.search.name
+    budget = Budget(turn.state.budgets.get(name, Budget(0.0)).tokens + 1.0)
+    return replace(turn, state=replace(turn.state, budgets=turn.state.budgets.set(name, budget)))
+
+
 def cancel_attempt(turn: Turn, attempt_id: str) -> Turn:
     """Stop wanting an attempt; its place at the target is held until it ends."""
     attempt = turn.state.attempts[attempt_id]
--- a/savoryarch/search/_settings.py
+++ b/savoryarch/search/_settings.py
@@ -95,7 +95,7 @@
         Number(0, 100_000, whole=True), "Extra sub-requests that may be saved up.", 20
     )
     room_wait_ms: float = setting(
-        Number(1.0, 10_000.0), "Time after which a target is tried again that had no room.", 10.0
+        Number(1.0, 10_000.0), "Time after which a target is tried again that had no room.", 5.0
     )
     no_snapshot_retry_ms: float = setting(
         Number(0.0, 600_000.0), "When to resend a request that no target was known for.", 500.0
--- a/savoryarch/search/_state.py
+++ b/savoryarch/search/_state.py
@@ -30,11 +30,12 @@
 
 
 class Purpose(Enum):
-    """Why an attempt is sent; all but the first draw on the extra-load budget."""
+    """Why an attempt is sent; hedges and retries draw on the extra-load budget."""
 
     FIRST = "first"
     HEDGE = "hedge"
     RETRY = "retry"
+    RESEND = "resend"  # of an attempt that a target shed, so that nothing has run
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -3,7 +3,7 @@
 from savoryarch.targets._attempts import begin_attempt, deny_snapshot, end_attempt, note_overdue
 from savoryarch.targets._choose import can_serve, choose_target, has_room
 from savoryarch.targets._decide import decide_targets
-from savoryarch.targets._limits import connection_share, in_flight_limit
+from savoryarch.targets._limits import connection_share, in_flight_limit, is_suspect
 from savoryarch.targets._settings import (
     ChoicePolicy,
     LeastExpectedLatency,
@@ -36,6 +36,7 @@
     "end_attempt",
     "has_room",
     "in_flight_limit",
+    "is_suspect",
     "make_targets_state",
     "note_overdue",
 ]
--- a/savoryarch/targets/_attempts.py
+++ b/savoryarch/targets/_attempts.py
@@ -23,6 +23,8 @@
 from savoryarch.targets._limits import lowered_limit, raised_limit
 from savoryarch.targets._state import TargetRecord, TargetsState, TargetUse
 
+_CERTAIN_RATIO = 1.4  # of the tail; so late is an attempt at a healthy target very rarely
+
 
 def begin_attempt(state: TargetsState, target_id: str, now_ms: float) -> TargetsState:
     """Take a place in the target's in-flight limit; `end_attempt` gives it back."""
@@ -127,6 +129,8 @@
         begun_at_ms=old.begun_at_ms,
         replied_at_ms=now_ms,
         recent=add_to_recent(old.recent, latency_ms, now_ms),
+        others=old.others,
+        others_at_ms=old.others_at_ms,
         overdue=0 if latency_ms <= service.histogram.tail_ms else old.overdue,
         overdue_at_ms=old.overdue_at_ms,
     )
@@ -143,9 +147,11 @@
 ) -> TargetsState:
     """Learn from an attempt whose reply was not waited for: it would have taken longer."""
     use = _given_back(state, record)
-    recent = add_to_recent(use.recent, latency_ms, now_ms, censored=True)
-    state = _put_use(state, record, replace(use, recent=recent))
     service = state.services[record.target.service]
+    use = replace(use, recent=add_to_recent(use.recent, latency_ms, now_ms, censored=True))
+    if latency_ms > _CERTAIN_RATIO * service.histogram.tail_ms:
+        use = replace(use, overdue=use.overdue + 1, overdue_at_ms=now_ms)
+    state = _put_use(state, record, use)
     histogram = add_latency(service.histogram, latency_ms, censored=True)
     service = replace(service, histogram=histogram)
     return replace(state, services=state.services.set(record.target.service, service))
@@ -155,8 +161,13 @@
     state: TargetsState, record: TargetRecord, retry_after_ms: float | None, now_ms: float
 ) -> TargetsState:
     use = _given_back(state, record)
-    state = _put_use(state, record, replace(use, limit=lowered_limit(use)))
+    others = float(max(0, record.slots - use.in_flight))
+    use = replace(use, limit=lowered_limit(use), others=others, others_at_ms=now_ms)
+    state = _put_use(state, record, use)
     pause_ms = state.settings.shed_pause_ms if retry_after_ms is None else max(0.0, retry_after_ms)
+    usual_ms = state.services[record.target.service].histogram.median_ms
+    if usual_ms > 0.0:
+        pause_ms = min(pause_ms, usual_ms / record.slots)  # until a slot is likely to be free
     paused_until_at_ms = max(record.paused_until_at_ms, now_ms + pause_ms)
     return put_record(state, replace(record, paused_until_at_ms=paused_until_at_ms))
 
--- a/savoryarch/targets/_choose.py
+++ b/savoryarch/targets/_choose.py
@@ -110,15 +110,23 @@
             slow_ms = max(expected_ms - usual_ms, _suspicion_ms(state, use, usual_ms, now_ms))
             if slow_ms < (_SLOW_RATIO - 1.0) * usual_ms:
                 slow_ms = 0.0
-            busy_ms = usual_ms * use.in_flight / record.slots
+            busy = use.in_flight + _others_in_flight(use, usual_ms, now_ms)
+            busy_ms = usual_ms * busy / record.slots
             near = record.target.availability_zone == settings.availability_zone
             return slow_ms + busy_ms + (0.0 if near else settings.zone_distance_ms)
 
 
+def _others_in_flight(use: TargetUse, usual_ms: float, now_ms: float) -> float:
+    """Return what is left of the requests of other instances that were seen by a shed."""
+    if use.others == 0.0 or usual_ms == 0.0:
+        return 0.0
+    return use.others * 0.5 ** ((now_ms - use.others_at_ms) / usual_ms)
+
+
 def _suspicion_ms(state: TargetsState, use: TargetUse, usual_ms: float, now_ms: float) -> float:
     """Return what to add for attempts overdue in a row; it halves until the next trial."""
     if not is_suspect(use):
         return 0.0
     doublings = min(use.overdue, _MAX_DOUBLINGS)
     halvings = (now_ms - use.overdue_at_ms) / state.settings.slow_half_life_ms
-    return usual_ms * 2.0 ** (doublings - halvings)
+    return usual_ms * 2.0 ** (doublings - 1 - halvings)
--- a/savoryarch/targets/_settings.py
+++ b/savoryarch/targets/_settings.py
@@ -41,7 +41,7 @@
         Number(0, 100, whole=True), "Entry instances started ahead of those they replace.", 1
     )
     ready_connections: int = setting(
-        Number(0, 1000, whole=True), "Idle connections kept open to each target.", 1
+        Number(0, 1000, whole=True), "Idle connections kept open to each target.", 2
     )
     probe_interval_ms: float = setting(
         Number(100.0, 600_000.0), "Time between probes of a target that gets no work.", 5000.0
--- a/savoryarch/targets/_state.py
+++ b/savoryarch/targets/_state.py
@@ -66,6 +66,8 @@
         When the last attempt began, and when one last got a reply; probes lag behind replies.
     recent : RecentLatency
         Of its replies.
+    others, others_at_ms : float
+        Requests of other instances that the target ran when it shed last, and when that was.
     overdue : int
         Times that its attempts were found overdue since a timely reply.
     overdue_at_ms : float
@@ -77,6 +79,8 @@
     begun_at_ms: float = float("-inf")
     replied_at_ms: float = float("-inf")
     recent: RecentLatency = RecentLatency()
+    others: float = 0.0
+    others_at_ms: float = float("-inf")
     overdue: int = 0
     overdue_at_ms: float = float("-inf")
 
