Prove orders by random failures, and measure the claims

Cause: a write that was due in less time than a clock can tell apart set its timer for ever. Change: a shortest pause of 1 ms; a key that an old value shows as held is read again at once. A property test drives 2 to 4 instances through deaths and freezes between any two effects, cut links, outages, slow calls and lost replies; benchmarks/bench_claims.py measures the claims.

--- /dev/null
+++ b/benchmarks/bench_claims.py
@@ -0,0 +1,178 @@
+"""Measures the claims on the store against orders per second, in virtual time.
+
+Four instances share a Poisson stream of orders; the store is the stand-in's pure logic with its
+rate limits, 2 ms away. Usage: ``python -m benchmarks.bench_claims [--seconds S] [--seed N]``.
+"""
+
+import json
+import time
+from collections import Counter
+from dataclasses import dataclass, replace
+from random import Random
+
+from fire import Fire
+
+from savoryarch.model import RouteReturned, SendAttempt, SwapKey
+from savoryarch.orders import OrdersSettings
+from savoryarch.orders.tests.world import Latencies, World, make_declarations
+from savoryarch_standins.store import MAX_VALUE_BYTES
+
+INSTANCES = ("a", "b", "c", "d")
+RATES_PER_S = (1, 10, 100, 1000, 5000)
+BODY = (
+    b'{"order_id": "%016d", "state": "accepted", "plates": 3, "ready_at": "2026-12-04T11:20:00Z"}'
+)
+MS_PER_S = 1000.0
+STORE_MS = 2.0
+WRITES_BOUND_PER_S = 200.0
+
+
+@dataclass(frozen=True)
+class Measured:
+    """What one run came to."""
+
+    rate_per_s: int
+    relays: bool
+    orders: int
+    done: int
+    writes_per_s: float
+    busiest_writes_per_s: float
+    conflicts: int
+    p50_ms: float
+    p99_ms: float
+    value_bytes: int
+    decision_us: float
+    peer_messages_per_s: float
+
+
+def measure(rate_per_s: int, relays: bool, seconds: float, seed: int, **settings) -> Measured:
+    """Drive four instances at a rate of orders and measure the claims."""
+    draw = Random(seed)
+    world = World(
+        INSTANCES,
+        OrdersSettings(relays_claims=relays, **settings),
+        Latencies(store_ms=lambda: STORE_MS, target_ms=lambda: draw.uniform(2, 20)),
+        make_declarations(deadline_ms=5000.0, slots=100_000),
+    )
+    # The history is for watches, which orders do not use.
+    world.store = replace(world.store, history_limit=2)
+    world.target_reply = lambda run: RouteReturned(201, BODY % run)
+    asked_at_ms: dict[str, float] = {}
+    number = 0
+
+    def arrive() -> None:
+        nonlocal number
+        number += 1
+        request_id = world.ask(draw.choice(INSTANCES), f"order-{number}", b'{"plate": %d}' % number)
+        asked_at_ms[request_id] = world.now_ms
+        if world.now_ms < seconds * MS_PER_S:
+            world.at(draw.expovariate(rate_per_s) * MS_PER_S, arrive)
+
+    seen = Seen()
+    world.on_effects = seen.keep
+    seen.world = world
+    world.at(0.0, arrive)
+    started_s = time.process_time()
+    world.run(seconds * MS_PER_S)
+    spent_s = time.process_time() - started_s
+    world.run((seconds + 5.0) * MS_PER_S)
+    waits_ms = sorted(sent - asked_at_ms[name] for name, sent in seen.sent_at_ms.items())
+    done = sum(len(outcomes) == 1 for outcomes in world.outcomes.values())
+    return Measured(
+        rate_per_s=rate_per_s,
+        relays=relays,
+        orders=number,
+        done=done,
+        writes_per_s=sum(seen.writes[second] for second in range(int(seconds))) / int(seconds),
+        busiest_writes_per_s=max(seen.writes.values()),
+        conflicts=seen.swaps - world.store.revision,
+        p50_ms=waits_ms[len(waits_ms) // 2],
+        p99_ms=waits_ms[int(len(waits_ms) * 0.99)],
+        value_bytes=seen.value_bytes,
+        decision_us=spent_s / number * 1e6,
+        peer_messages_per_s=seen.peer_messages / seconds,
+    )
+
+
+class Seen:
+    """Keeps what the measurement needs of the effects."""
+
+    def __init__(self) -> None:
+        self.world: World
+        self.writes: Counter[int] = Counter()
+        self.swaps = 0
+        self.value_bytes = 0
+        self.peer_messages = 0
+        self.sent_at_ms: dict[str, float] = {}
+
+    def keep(self, instance: str, effects: tuple[object, ...]) -> tuple[object, ...]:
+        """Note the effects of one decision."""
+        self.world.effects.clear()
+        for effect in effects:
+            match effect:
+                case SwapKey(value=value):
+                    self.writes[int(self.world.now_ms // MS_PER_S)] += 1
+                    self.swaps += 1
+                    self.value_bytes = max(self.value_bytes, len(value))
+                case SendAttempt(attempt_id=attempt_id):
+                    request_id = attempt_id.split("/")[1]
+                    self.sent_at_ms.setdefault(request_id, self.world.now_ms)
+                case _ if type(effect).__name__ == "TellPeer":
+                    self.peer_messages += 1
+        return effects
+
+
+def show(row: Measured) -> None:
+    """Print one row of the table."""
+    print(
+        f"{row.rate_per_s:>7} {'owner' if row.relays else 'each':>6} {row.orders:>7} {row.done:>7}"
+        f" {row.writes_per_s:>8.1f} {row.busiest_writes_per_s:>8} {row.conflicts:>9}"
+        f" {row.p50_ms:>8.1f} {row.p99_ms:>8.1f} {row.value_bytes:>9} {row.decision_us:>9.0f}"
+        f" {row.peer_messages_per_s:>8.0f}",
+        flush=True,
+    )
+
+
+def main(seconds: float = 5.0, seed: int = 1) -> None:
+    """Measure with and without owners of buckets, and print the goals as JSON."""
+    print(
+        "orders/s writer  orders answered writes/s  busiest conflicts   p50 ms   p99 ms"
+        " max value us/order msgs/s"
+    )
+    rows = {}
+    for relays in (True, False):
+        for rate_per_s in RATES_PER_S:
+            row = measure(rate_per_s, relays, seconds, seed)
+            rows[rate_per_s, relays] = row
+            show(row)
+    print(json.dumps({"goals": make_goals(rows)}))
+
+
+def make_goals(rows: dict[tuple[int, bool], Measured]) -> list[dict[str, object]]:
+    """Hold what was measured against the bounds; the baseline is without owners."""
+    owned = [row for row in rows.values() if row.relays]
+    alone = [row for row in rows.values() if not row.relays]
+    busiest = max(row.busiest_writes_per_s for row in owned)
+    value_bytes = max(row.value_bytes for row in owned)
+    return [
+        {
+            "name": "claim writes in the busiest second, 1 to 5,000 orders/s",
+            "measured": busiest,
+            "bound": WRITES_BOUND_PER_S,
+            "unit": "writes/s",
+            "holds": busiest <= WRITES_BOUND_PER_S,
+            "baseline": max(row.busiest_writes_per_s for row in alone),
+        },
+        {
+            "name": "largest bucket value",
+            "measured": value_bytes,
+            "bound": MAX_VALUE_BYTES,
+            "unit": "bytes",
+            "holds": value_bytes <= MAX_VALUE_BYTES,
+            "baseline": max(row.value_bytes for row in alone),
+        },
+    ]
+
+
+if __name__ == "__main__":
+    Fire(main)
--- a/savoryarch/orders/_bucket.py
+++ b/savoryarch/orders/_bucket.py
@@ -40,6 +40,7 @@
 from savoryarch.utils import in_order
 
 _MS_PER_S = 1000.0
+_SHORTEST_PAUSE_MS = 1.0
 _BURST_S = 0.1  # writes that may be made at once, as time at the write rate
 
 Action = Callable[[Turn, Bucket, object], Turn]
@@ -140,9 +141,9 @@
         turn = step_bucket(turn, turn.state.buckets[number], "turn")
     if not turn.state.queue:
         return turn
-    missing = 1.0 - turn.state.write_tokens
-    due_at_ms = turn.now_ms + missing * _MS_PER_S / _writes_per_s(turn)
-    return turn.emit(SetTimer("orders/turn", due_at_ms))
+    pause_ms = (1.0 - turn.state.write_tokens) * _MS_PER_S / _writes_per_s(turn)
+    # A pause that is lost in rounding would fire for ever at the same time.
+    return turn.emit(SetTimer("orders/turn", turn.now_ms + max(pause_ms, _SHORTEST_PAUSE_MS)))
 
 
 def step_bucket(turn: Turn, bucket: Bucket, event: str, cause: object = None) -> Turn:
@@ -224,11 +225,13 @@
 
 
 def _follow_up(turn: Turn, bucket: Bucket) -> Turn:
-    """Join the queue for a write if there is something to write now, else set a timer."""
+    """Join the queue for a write if there is something to write now, else read or set a timer."""
     held = [item.held for item in bucket.submitted.values()]
     settled_due = bool(bucket.settled) and bucket.settle_at_ms <= turn.now_ms
     if settled_due or not all(held):
         return step_bucket(turn, bucket, "write_due")
+    if any(item.after_call >= bucket.value_call for item in bucket.submitted.values()):
+        return step_bucket(turn, bucket, "stale")
     due_at_ms = [turn.now_ms + turn.state.settings.held_poll_ms] if held else []
     due_at_ms += [bucket.settle_at_ms] if bucket.settled else []
     if not due_at_ms:
--- a/savoryarch/orders/_claims.py
+++ b/savoryarch/orders/_claims.py
@@ -26,7 +26,7 @@
 
 DIGEST_BYTES = 16
 FINGERPRINT_BYTES = 8
-ROW_BYTES = 56  # of an encoded claim, beyond its texts
+ROW_BYTES = 64  # of an encoded claim, beyond its texts
 _FULL_SHARE = 0.75  # of the size limit, kept when old claims are dropped
 
 
--- a/savoryarch/orders/_settings.py
+++ b/savoryarch/orders/_settings.py
@@ -41,9 +41,6 @@
     outcome_delay_ms: float = setting(
         Number(0.0, 60_000.0), "Time for which an outcome waits for claims to share a write.", 100.0
     )
-    claim_wait_ms: float = setting(
-        Number(10.0, 600_000.0), "Time after which a claim that is not written is given up.", 2000.0
-    )
     failures_before_refusal: int = setting(
         Number(1, 100, whole=True), "Failed calls after which waiting claims are refused.", 2
     )
--- a/savoryarch/orders/tests/test_orders_properties.py
+++ b/savoryarch/orders/tests/test_orders_properties.py
@@ -55,10 +55,11 @@
 
     def __init__(self, seed):
         draw = self.draw = Random(seed)
+        self.calm = False
         self.instances = ("a", "b", "c", "d")[: draw.randint(2, 4)]
         slow = draw.random() < 0.4
         latencies = Latencies(
-            store_ms=lambda: draw.uniform(1, 400) if slow and draw.random() < 0.3 else 2.0,
+            store_ms=lambda: draw.uniform(1, 400) if slow and self._strikes(0.3) else 2.0,
             peer_ms=lambda: draw.uniform(0.2, 30),
             target_ms=lambda: draw.uniform(1, 60),
             store_timeout_ms=300.0,
@@ -68,9 +69,7 @@
         self.world.target_reply = self._reply
         self.world.on_effects = self._interrupt
         self.asked = {}
-        self.runs_by = defaultdict(int)
         self.killed = False
-        self.calm = False
         for _ in range(draw.randint(6, 16)):
             self.world.at(draw.uniform(0, SPAN_MS), self._ask)
         for _ in range(draw.randint(0, 8)):
@@ -83,6 +82,9 @@
         drawn = "returned" if self.calm else self.draw.choice(REPLIES)
         return RouteReturned(201, b"%d" % run) if drawn == "returned" else drawn
 
+    def _strikes(self, share):
+        return not self.calm and self.draw.random() < share
+
     def ask(self, instance, key, body, **fields):
         ran = self.world.runs["order", key] > 0
         request_id = self.world.ask(instance, key, body, **fields)
@@ -102,7 +104,7 @@
 
     def _interrupt(self, instance, effects):
         """Let an instance die or freeze between any two effects of one decision."""
-        if self.calm or not effects or self.draw.random() > 0.02:
+        if not effects or not self._strikes(0.02):
             return effects
         done = self.draw.randint(0, len(effects))
         if self.draw.random() < 0.5:
