Keep an outcome until a value that is newer than it shows it recorded

Ruled out: the relay and its timeout. Conclusion: an outcome that a caller got is found by a resend unless its instance died first.

--- a/savoryarch/model/_claims.py
+++ b/savoryarch/model/_claims.py
@@ -161,11 +161,14 @@
     ----------
     claim : Claim
         What to write.
+    left_ms : float
+        Time after which the claimant does not want it any more.
     created_at_ms : int or None
         Calendar time at which the caller made the request, if it said so.
     """
 
     claim: Claim
+    left_ms: float
     created_at_ms: int | None = None
 
 
--- a/savoryarch/orders/_bucket.py
+++ b/savoryarch/orders/_bucket.py
@@ -18,6 +18,7 @@
     LogEvent,
     ReadKey,
     SetTimer,
+    SettleClaim,
     StoreLimited,
     StoreReply,
     StoreUnreachable,
@@ -32,6 +33,7 @@
     bucket_of,
     compose,
     is_settled,
+    is_superseded,
     resolve,
 )
 from savoryarch.orders._ownership import owned_buckets
@@ -80,8 +82,12 @@
     if not any(item.held for item in bucket.submitted.values()):
         due_at_ms += turn.state.settings.outcome_delay_ms
     settle_at_ms = min(bucket.settle_at_ms, due_at_ms) if bucket.settled else due_at_ms
-    outcomes = bucket.settled.set(settled.claim.claimant, settled)
-    bucket = replace(bucket, settled=outcomes, settle_at_ms=settle_at_ms)
+    claimant = settled.claim.claimant
+    outcomes = bucket.settled.set(claimant, replace(settled, after_call=turn.state.calls))
+    # Its claim must not be written any more, or it would hold the key for nobody.
+    submitted = bucket.submitted
+    submitted = submitted.delete(claimant) if claimant in submitted else submitted
+    bucket = replace(bucket, settled=outcomes, settle_at_ms=settle_at_ms, submitted=submitted)
     return step_bucket(turn, bucket, "work_added")
 
 
@@ -97,6 +103,14 @@
     return turn
 
 
+def drop_settled(turn: Turn, claimant: Claimant) -> Turn:
+    """Forget an outcome that a peer has recorded."""
+    for bucket in turn.state.buckets.values():
+        if claimant in bucket.settled:
+            turn = turn.put_bucket(replace(bucket, settled=bucket.settled.delete(claimant)))
+    return turn
+
+
 def decide_reply(turn: Turn, call_id: str, reply: StoreReply) -> Turn:
     """Decide on the reply to a bucket's call (``orders/BUCKET/CALL``)."""
     number = int(call_id.split("/")[1])
@@ -162,8 +176,14 @@
 
 def _is_refusing(turn: Turn, bucket: Bucket) -> bool:
     # One call at a time finds out whether the store is back; other claims do not wait for it.
-    limit = turn.state.settings.failures_before_refusal
-    return bucket.failures >= limit and bucket.state != _CHART.initial
+    return bucket.failures >= _allowed_failures(turn) and bucket.state != _CHART.initial
+
+
+def _allowed_failures(turn: Turn) -> int:
+    # With live peers, the claimant asks the next instance to write instead of waiting for this one.
+    settings = turn.state.settings
+    has_others = settings.relays_claims and bool(turn.state.live)
+    return 1 if has_others else settings.failures_before_refusal
 
 
 def _read(turn: Turn, bucket: Bucket, cause: object) -> Turn:
@@ -194,6 +214,7 @@
 def _resolve(turn: Turn, bucket: Bucket, cause: object) -> Turn:
     """Tell the claims that came to something, and see what is left to write."""
     settings = turn.state.settings
+    bucket = _drop_expired(turn, bucket)
     submitted = bucket.submitted
     for _, item in in_order(submitted):
         found = resolve(bucket.value, item, settings)
@@ -214,18 +235,34 @@
     return _follow_up(turn.put_bucket(bucket), bucket)
 
 
+def _drop_expired(turn: Turn, bucket: Bucket) -> Bucket:
+    submitted = bucket.submitted
+    for claimant, item in submitted.items():
+        if item.expires_at_ms <= turn.now_ms and item.from_peer:
+            submitted = submitted.delete(claimant)
+    return replace(bucket, submitted=submitted)
+
+
 def _forget_recorded(turn: Turn, bucket: Bucket) -> tuple[Turn, Bucket]:
     settled = bucket.settled
     for claimant, item in in_order(settled):
-        if is_settled(bucket.value, item.claim):
+        if is_settled(bucket.value, item.claim) and not _is_stale(bucket, item):
             settled = settled.delete(claimant)
             if item.from_peer:
                 turn = turn.post(item.from_peer, TellRecorded(claimant))
     return turn, replace(bucket, settled=settled)
 
 
+def _is_stale(bucket: Bucket, settled: Settled) -> bool:
+    # An old value may show the claim that this one took the place of.
+    is_fresh = bucket.value_call > settled.after_call
+    return not is_fresh and is_superseded(bucket.value, settled.claim)
+
+
 def _follow_up(turn: Turn, bucket: Bucket) -> Turn:
     """Join the queue for a write if there is something to write now, else read or set a timer."""
+    if any(_is_stale(bucket, item) for item in bucket.settled.values()):
+        return step_bucket(turn, bucket, "stale")
     held = [item.held for item in bucket.submitted.values()]
     settled_due = bool(bucket.settled) and bucket.settle_at_ms <= turn.now_ms
     if settled_due or not all(held):
@@ -245,6 +282,7 @@
 
 def _swap(turn: Turn, bucket: Bucket, cause: object) -> Turn:
     settings = turn.state.settings
+    bucket = _drop_expired(turn, bucket)
     settled = [item.claim for _, item in sorted(bucket.settled.items())]
     waiting = [item for item in bucket.submitted.values() if not item.held]
     value = compose(bucket.value, settled, waiting, settings, turn.wall_ms)
@@ -283,13 +321,26 @@
             "claim_bucket_failed", (("bucket", str(bucket.number)), ("detail", str(cause)[:200]))
         ),
     )
-    if bucket.failures < settings.failures_before_refusal:
+    turn = _hand_over_settled(turn, bucket)
+    if bucket.failures < _allowed_failures(turn):
         return turn.put_bucket(bucket)
     for _, item in in_order(bucket.submitted):
         turn = turn.report(item, ClaimFailed(str(cause)[:200], item.key_unused))
     return turn.put_bucket(replace(bucket, submitted=_NO_CLAIMS))
 
 
+def _hand_over_settled(turn: Turn, bucket: Bucket) -> Turn:
+    """Ask one peer, another after each failure, to record the outcomes of this instance too."""
+    state = turn.state
+    if not (state.settings.relays_claims and state.live):
+        return turn
+    peer_id = state.live[bucket.failures % len(state.live)]
+    for _, item in in_order(bucket.settled):
+        if not item.from_peer:
+            turn = turn.post(peer_id, SettleClaim(item.claim))
+    return turn
+
+
 def _next_call(turn: Turn, bucket: Bucket) -> tuple[Turn, str]:
     calls = turn.state.calls + 1
     return turn.change(calls=calls), f"orders/{bucket.number}/{calls}"
--- a/savoryarch/orders/_claims.py
+++ b/savoryarch/orders/_claims.py
@@ -60,6 +60,8 @@
     ----------
     claim : Claim
         What to write.
+    expires_at_ms : float
+        When the claimant does not want it any more.
     created_at_ms : int or None
         Calendar time at which the caller made the request, if it said so.
     from_peer : str
@@ -77,6 +79,7 @@
     """
 
     claim: Claim
+    expires_at_ms: float
     created_at_ms: int | None = None
     from_peer: str = ""
     after_call: int = 0
@@ -185,6 +188,12 @@
     return settle_claim(value, settled) is value
 
 
+def is_superseded(value: BucketValue, settled: Claim) -> bool:
+    """Return whether another claim has the key."""
+    held = value.claims.get(settled.digest)
+    return held is not None and held.claimant != settled.claimant
+
+
 def compose(
     value: BucketValue,
     settled: Iterable[Claim],
--- a/savoryarch/orders/_decide.py
+++ b/savoryarch/orders/_decide.py
@@ -7,6 +7,7 @@
     AskClaim,
     AttemptEnded,
     CallerGone,
+    Claimant,
     ClaimMessages,
     Count,
     DecidedOnTargets,
@@ -29,6 +30,7 @@
 from savoryarch.orders._bucket import (
     decide_reply,
     decide_timer,
+    drop_settled,
     drop_submitted_by,
     settle_claim,
     submit_claim,
@@ -183,18 +185,25 @@
 
 def _hear(turn: Turn, peer_id: str, message: object) -> Turn:
     match message:
-        case AskClaim(claim=claim, created_at_ms=created_at_ms):
-            return submit_claim(turn, Submitted(claim, created_at_ms, from_peer=peer_id))
+        case AskClaim(claim=claim, left_ms=left_ms, created_at_ms=created_at_ms):
+            expires_at_ms = turn.now_ms + left_ms
+            return submit_claim(turn, Submitted(claim, expires_at_ms, created_at_ms, peer_id))
         case TellResolution(claimant=claimant, resolution=resolution):
             return deliver_resolution(turn, claimant, resolution)
         case SettleClaim(claim=claim):
             return settle_claim(turn, Settled(claim, from_peer=peer_id))
-        case TellRecorded(claimant=claimant) if claimant in turn.state.relayed:
-            return turn.change(relayed=turn.state.relayed.delete(claimant))
+        case TellRecorded(claimant=claimant):
+            return _note_recorded(turn, claimant)
         case _:
             return turn
 
 
+def _note_recorded(turn: Turn, claimant: Claimant) -> Turn:
+    if claimant in turn.state.relayed:
+        turn = turn.change(relayed=turn.state.relayed.delete(claimant))
+    return drop_settled(turn, claimant)
+
+
 def _change_peers(turn: Turn, live: tuple[str, ...]) -> Turn:
     gone = set(turn.state.live) - set(live)
     turn = turn.change(live=tuple(sorted(live)))
--- a/savoryarch/orders/_order.py
+++ b/savoryarch/orders/_order.py
@@ -59,7 +59,7 @@
 
 Action = Callable[[Turn, Order, object], Turn]
 
-_NOT_RUN = ("the order was not sent", "the target refused it")
+_MAX_WRITERS = 3
 
 
 def step_order(turn: Turn, order: Order, event: str, cause: object = None) -> Turn:
@@ -125,7 +125,7 @@
 
 
 def _submit_claim(turn: Turn, order: Order, cause: object) -> Turn:
-    """Ask the next instance to write the claim: the bucket's owner, this one, any other."""
+    """Ask the next instance to write the claim: the bucket's owner, this one, one other."""
     claim = order.claim
     if claim is None:
         sequence = turn.state.sequence + 1
@@ -139,11 +139,14 @@
         return step_order(turn.put_order(order), order, "claim_refused", cause)
     order = replace(order, writers=(*order.writers, writer))
     turn = turn.put_order(order)
+    if _next_writer(turn, order):
+        due_at_ms = turn.now_ms + turn.state.settings.relay_timeout_ms
+        turn = turn.emit(SetTimer(_timer("claim", order), due_at_ms))
     if writer == turn.state.instance_id:
-        return submit_claim(turn, Submitted(claim, order.asked.created_at_ms))
-    due_at_ms = turn.now_ms + turn.state.settings.relay_timeout_ms
-    turn = turn.post(writer, AskClaim(claim, order.asked.created_at_ms))
-    return turn.emit(SetTimer(_timer("claim", order), due_at_ms))
+        submitted = Submitted(claim, order.deadline_at_ms, order.asked.created_at_ms)
+        return submit_claim(turn, submitted)
+    left_ms = order.deadline_at_ms - turn.now_ms
+    return turn.post(writer, AskClaim(claim, left_ms, order.asked.created_at_ms))
 
 
 def _make_claim(turn: Turn, order: Order, sequence: int) -> Claim:
@@ -159,6 +162,8 @@
     state = turn.state
     if not state.settings.relays_claims:
         return "" if order.writers else state.instance_id
+    if len(order.writers) >= _MAX_WRITERS:
+        return ""
     digest = digest_key(order.route.name, order.asked.idempotency_key)
     owner = owner_of(state, bucket_of(digest, state.settings.buckets))
     for instance in (owner, state.instance_id, *state.live):
--- a/savoryarch/orders/_state.py
+++ b/savoryarch/orders/_state.py
@@ -84,11 +84,14 @@
         The request, if it was this instance's.
     from_peer : str
         The peer to be told when it is recorded; empty for none.
+    after_call : int
+        Store calls of the instance before it was submitted.
     """
 
     claim: Claim
     request_id: str = ""
     from_peer: str = ""
+    after_call: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/orders/tests/world.py
+++ b/savoryarch/orders/tests/world.py
@@ -250,4 +250,8 @@
 
 def ran(reply):
     """Whether a target that gives this reply has run the request."""
-    return not isinstance(reply, Shed | Draining | NotSent | DeadlinePassed)
+    match reply:
+        case Shed() | Draining() | NotSent() | DeadlinePassed(not_run=True):
+            return False
+        case _:
+            return True
