--- a/savoryarch_bench/demo.py
+++ b/savoryarch_bench/demo.py
@@ -223,9 +223,8 @@
         covered = sum(result.answered for result in answered)
         print(f"  coverage   {100.0 * covered / asked:.2f}% of {asked} shards asked")
         warm_asked = sum(result.asked for result in warm_up)
-        print(
-            f"  extra load {100.0 * _extra_load(counts, asked + warm_asked):.2f}%, cold start included"
-        )
+        extra_load = _extra_load(counts, asked + warm_asked)
+        print(f"  extra load {100.0 * extra_load:.2f}%, cold start included")
     done = [result for result in orders if result.outcome == "done"]
     _print_rows("orders, each sent twice", orders, done)
     results = warm_up + results
