Let fixed-delay hedging ask a second replica only

Cause: test_extra_load_is_seen[search1-0.9] found an extra load of 2.0 where both replicas are asked at once: since a late hedge is hedged again, the baseline asked the third replica as well. Change: the baseline stays with two, as its documentation says. Measured: before 2.0, after within 0.9 +- 0.1 as the test demands. Conclusion: baselines stay plain.

--- a/savoryarch/search/_attempt_chart.py
+++ b/savoryarch/search/_attempt_chart.py
@@ -126,6 +126,8 @@
     """Return whether the last attempt that was sent has had its time as well."""
     if len(shard.attempt_ids) == 1:
         return True
+    if isinstance(turn.state.settings.hedging, FixedDelayHedging):
+        return False  # the baseline asks a second replica and never a third
     newest = turn.state.attempts[shard.attempt_ids[-1]]
     patience_ms = slow_after_ms(turn, newest.service, newest.target_id)
     return turn.now_ms - newest.begun_at_ms >= patience_ms
