Bound the bucket values, and take each guard of orders away

Cause: a test that fills the buckets saw values of 9,072 bytes at a limit of 8,192: outcomes and withdrawn claims were written without looking for room. Change: an outcome that does not fit is recorded without its body; a claim is withdrawn by a write only if a swap that carried it may have taken effect; a refusal for lack of room reads first, so that it can say whether the key is unused.

--- a/savoryarch/model/_claims.py
+++ b/savoryarch/model/_claims.py
@@ -136,10 +136,13 @@
         What failed.
     key_unused : bool
         Whether the key was seen without a claim after the request arrived.
+    may_be_written : bool
+        Whether a write that carried the claim may have taken effect.
     """
 
     detail: str
     key_unused: bool
+    may_be_written: bool = False
 
 
 ClaimResolution = (
--- a/savoryarch/orders/_bucket.py
+++ b/savoryarch/orders/_bucket.py
@@ -11,6 +11,7 @@
 from savoryarch.model import (
     Claim,
     Claimant,
+    ClaimBucketFull,
     ClaimFailed,
     ClaimHeld,
     KeyAbsent,
@@ -32,6 +33,7 @@
     Submitted,
     bucket_of,
     compose,
+    is_free,
     is_settled,
     is_superseded,
     resolve,
@@ -175,8 +177,8 @@
 
 
 def _is_refusing(turn: Turn, bucket: Bucket) -> bool:
-    # One call at a time finds out whether the store is back; other claims do not wait for it.
-    return bucket.failures >= _allowed_failures(turn) and bucket.state != _CHART.initial
+    backs_off = _CHART.accepts(bucket.state, "retry_due")
+    return backs_off and bucket.failures >= _allowed_failures(turn)
 
 
 def _allowed_failures(turn: Turn) -> int:
@@ -217,16 +219,19 @@
     bucket = _drop_expired(turn, bucket)
     submitted = bucket.submitted
     for _, item in in_order(submitted):
+        fresh = bucket.value_call > item.after_call
+        item = replace(item, key_unused=item.key_unused or _shows_unused(bucket, item, fresh))
         found = resolve(bucket.value, item, settings)
         match found:
             case None:
-                fresh = bucket.value_call > item.after_call
-                left = replace(item, held=False, key_unused=item.key_unused or fresh)
+                left = replace(item, held=False)
                 submitted = submitted.set(item.claim.claimant, left)
             case ClaimHeld():
                 if not item.held:
                     turn = turn.report(item, found)
                 submitted = submitted.set(item.claim.claimant, replace(item, held=True))
+            case ClaimBucketFull() if not fresh:
+                pass  # read first, so that the refusal can say whether the key is unused
             case _:
                 submitted = submitted.delete(item.claim.claimant)
                 turn = turn.report(item, found)
@@ -235,6 +240,11 @@
     return _follow_up(turn.put_bucket(bucket), bucket)
 
 
+def _shows_unused(bucket: Bucket, item: Submitted, fresh: bool) -> bool:
+    held = bucket.value.claims.get(item.claim.digest)
+    return fresh and (held is None or is_free(held))
+
+
 def _drop_expired(turn: Turn, bucket: Bucket) -> Bucket:
     submitted = bucket.submitted
     for claimant, item in submitted.items():
@@ -246,7 +256,9 @@
 def _forget_recorded(turn: Turn, bucket: Bucket) -> tuple[Turn, Bucket]:
     settled = bucket.settled
     for claimant, item in in_order(settled):
-        if is_settled(bucket.value, item.claim) and not _is_stale(bucket, item):
+        if is_settled(bucket.value, item.claim, turn.state.settings) and not _is_stale(
+            bucket, item
+        ):
             settled = settled.delete(claimant)
             if item.from_peer:
                 turn = turn.post(item.from_peer, TellRecorded(claimant))
@@ -259,9 +271,17 @@
     return not is_fresh and is_superseded(bucket.value, settled.claim)
 
 
+def _needs_read(bucket: Bucket) -> bool:
+    """Return whether an old value keeps an outcome or a claim without room from its end."""
+    without_room = any(
+        item.composed and bucket.value_call <= item.after_call for item in bucket.submitted.values()
+    )
+    return without_room or any(_is_stale(bucket, item) for item in bucket.settled.values())
+
+
 def _follow_up(turn: Turn, bucket: Bucket) -> Turn:
     """Join the queue for a write if there is something to write now, else read or set a timer."""
-    if any(_is_stale(bucket, item) for item in bucket.settled.values()):
+    if _needs_read(bucket):
         return step_bucket(turn, bucket, "stale")
     held = [item.held for item in bucket.submitted.values()]
     settled_due = bool(bucket.settled) and bucket.settle_at_ms <= turn.now_ms
@@ -325,7 +345,8 @@
     if bucket.failures < _allowed_failures(turn):
         return turn.put_bucket(bucket)
     for _, item in in_order(bucket.submitted):
-        turn = turn.report(item, ClaimFailed(str(cause)[:200], item.key_unused))
+        failed = ClaimFailed(str(cause)[:200], item.key_unused, item.carried)
+        turn = turn.report(item, failed)
     return turn.put_bucket(replace(bucket, submitted=_NO_CLAIMS))
 
 
--- a/savoryarch/orders/_claims.py
+++ b/savoryarch/orders/_claims.py
@@ -171,21 +171,22 @@
     return submitted.created_at_ms <= value.forgotten_through_ms + settings.clock_skew_ms
 
 
-def settle_claim(value: BucketValue, settled: Claim) -> BucketValue:
+def settle_claim(value: BucketValue, settled: Claim, settings: OrdersSettings) -> BucketValue:
     """Record an outcome; the first one recorded for a claim stays."""
     held = value.claims.get(settled.digest)
     if held is None:
         # Dropped, or lost with a restore of the store. A swap that was given up may still take
         # effect; writing the outcome anyway makes it conflict.
-        return put_claim(value, settled)
+        fits = value.size_bytes + claim_bytes(settled) <= settings.bucket_bytes
+        return put_claim(value, settled) if fits else value
     if held.claimant != settled.claimant or not isinstance(held.state, ClaimOpen):
         return value
-    return put_claim(value, settled)
+    return put_claim(value, fit_outcome(value, settled, settings))
 
 
-def is_settled(value: BucketValue, settled: Claim) -> bool:
+def is_settled(value: BucketValue, settled: Claim, settings: OrdersSettings) -> bool:
     """Return whether nothing is left to record of an outcome."""
-    return settle_claim(value, settled) is value
+    return settle_claim(value, settled, settings) is value
 
 
 def is_superseded(value: BucketValue, settled: Claim) -> bool:
@@ -203,7 +204,7 @@
 ) -> BucketValue:
     """Return the value with outcomes recorded, old claims dropped and free keys claimed."""
     for claim in settled:
-        value = settle_claim(value, claim)
+        value = settle_claim(value, claim, settings)
     value = drop_old(value, settings, wall_ms)
     for item in sorted(submitted, key=_arrival):
         if look_up(value, item, settings) is None and has_room(value, item.claim, settings):
@@ -211,6 +212,17 @@
     return value
 
 
+def fit_outcome(value: BucketValue, settled: Claim, settings: OrdersSettings) -> Claim:
+    """Return the outcome, without the target's body if the bucket has no room for it."""
+    match settled.state:
+        case ClaimDone(status=status, body=body):
+            if value.size_bytes + len(body) > settings.bucket_bytes:
+                return with_state(settled, ClaimDone(status, b"", body_kept=False))
+            return settled
+        case _:
+            return settled
+
+
 def has_room(value: BucketValue, claim: Claim, settings: OrdersSettings) -> bool:
     """Return whether a claim fits, together with the largest outcome that is recorded."""
     needed_bytes = claim_bytes(claim) + settings.recorded_body_bytes
@@ -224,13 +236,13 @@
     needs_room = value.size_bytes > limit_bytes
     if not value.claims or not (needs_room or value.oldest_at_ms < keep_from_ms):
         return value
-    drop_until_ms = wall_ms - settings.minimum_retention_ms
     size_bytes = value.size_bytes
     kept: list[Claim] = []
     forgotten_through_ms = value.forgotten_through_ms
     for claim in sorted(value.claims.values(), key=_age):
         too_old = claim.claimed_at_ms < keep_from_ms
-        crowded = size_bytes > limit_bytes and claim.claimed_at_ms < drop_until_ms
+        kept_ms = settings.clock_skew_ms if is_free(claim) else settings.minimum_retention_ms
+        crowded = size_bytes > limit_bytes and claim.claimed_at_ms < wall_ms - kept_ms
         if not (too_old or crowded):
             kept.append(claim)
             continue
--- a/savoryarch/orders/_order.py
+++ b/savoryarch/orders/_order.py
@@ -132,8 +132,7 @@
         claim = _make_claim(turn, order, sequence)
         claimants = turn.state.claimants.set(sequence, order.request_id)
         turn = turn.change(sequence=sequence, claimants=claimants)
-    key_unused = order.key_unused or (isinstance(cause, ClaimFailed) and cause.key_unused)
-    order = replace(order, claim=claim, key_unused=key_unused)
+    order = _learn_failure(replace(order, claim=claim), cause)
     writer = _next_writer(turn, order)
     if not writer:
         return step_order(turn.put_order(order), order, "claim_refused", cause)
@@ -149,6 +148,19 @@
     return turn.post(writer, AskClaim(claim, left_ms, order.asked.created_at_ms))
 
 
+def _learn_failure(order: Order, cause: object) -> Order:
+    match cause:
+        case ClaimFailed(key_unused=key_unused, may_be_written=may_be_written):
+            return replace(
+                order,
+                key_unused=order.key_unused or key_unused,
+                may_be_written=order.may_be_written or may_be_written,
+            )
+        case _:
+            # The first writer is asked, or the last one was silent.
+            return replace(order, may_be_written=bool(order.writers))
+
+
 def _make_claim(turn: Turn, order: Order, sequence: int) -> Claim:
     return Claim(
         digest=digest_key(order.route.name, order.asked.idempotency_key),
@@ -177,12 +189,22 @@
     assert order.claim is not None
     turn, waiting = withdraw_claim(turn, order.claim)
     if waiting is not None and waiting.key_unused:
-        order = replace(order, key_unused=True)
-        turn = turn.put_order(order)
-    may_be_written = waiting is None or waiting.carried
-    if order.writers == (turn.state.instance_id,) and not may_be_written:
-        return turn
-    return _settle(turn, order, ClaimNotRun())
+        turn = turn.put_order(replace(order, key_unused=True))
+    if order.may_be_written or _last_writer_may_write(turn, order, waiting, cause):
+        return _settle(turn, order, ClaimNotRun())
+    return turn
+
+
+def _last_writer_may_write(
+    turn: Turn, order: Order, waiting: Submitted | None, cause: object
+) -> bool:
+    match cause:
+        case ClaimFailed() | ClaimKeyReused() | ClaimForgotten() | ClaimBucketFull():
+            return False  # it said what became of the claim
+        case _ if order.writers[-1:] == (turn.state.instance_id,):
+            return waiting is None or waiting.carried
+        case _:
+            return True
 
 
 def _choose_target(turn: Turn, order: Order, cause: object) -> Turn:
--- a/savoryarch/orders/_state.py
+++ b/savoryarch/orders/_state.py
@@ -38,6 +38,8 @@
         The instances that were asked to write the claim; the last one is waited for.
     key_unused : bool
         Whether the key was seen without a claim after the request arrived.
+    may_be_written : bool
+        Whether an instance that failed to write the claim may have written it.
     sent : int
         Attempts that were sent.
     tried : frozenset of str
@@ -59,6 +61,7 @@
     claim: Claim | None = None
     writers: tuple[str, ...] = ()
     key_unused: bool = False
+    may_be_written: bool = False
     sent: int = 0
     tried: frozenset[str] = frozenset()
     target_id: str = ""
--- /dev/null
+++ b/savoryarch/orders/tests/test_guards.py
@@ -0,0 +1,19 @@
+import pytest
+
+from savoryarch.orders.tests.guards import GUARDS, run_proof
+
+CASES = [(guard, proof) for guard in GUARDS for proof in guard.proofs]
+PROOFS = sorted({proof for _, proof in CASES})
+
+
+@pytest.mark.parametrize("proof", PROOFS)
+def test_proof_holds_with_every_guard(proof):
+    run_proof(proof)
+
+
+@pytest.mark.parametrize(
+    ("guard", "proof"), CASES, ids=[f"{guard.name}: {proof}" for guard, proof in CASES]
+)
+def test_proof_catches_a_guard_that_is_taken_away(guard, proof):
+    with guard.taken_away(), pytest.raises(AssertionError):
+        run_proof(proof)
--- a/savoryarch/orders/tests/test_scenarios.py
+++ b/savoryarch/orders/tests/test_scenarios.py
@@ -85,6 +85,7 @@
     return Do(from_ms, "unplug", (pair,)), Do(until_ms, "plug", (pair,))
 
 
+OWNER, NOT_OWNER = "a", "b"  # of the bucket of the key
 RELAYS = OrdersSettings(relays_claims=True)
 TINY = OrdersSettings(
     relays_claims=False,
@@ -122,6 +123,25 @@
         1,
         (kill(9), Do(20, "start", ("a",))),
     ),
+    Scenario(
+        "started again while its claim is written",
+        (Ask(0, NOT_OWNER, ""), Ask(5, NOT_OWNER, "unknown")),
+        0,
+        (kill(3, NOT_OWNER), Do(4, "start", (NOT_OWNER,)), Do(4, "announce")),
+        RELAYS,
+    ),
+    Scenario(
+        "an owner with an old value records an outcome",
+        (
+            Ask(0, NOT_OWNER, "not_run overloaded"),
+            Ask(1000, NOT_OWNER, "done"),
+            Ask(1600, OWNER, "recorded"),
+        ),
+        1,
+        unplugged(999, 1015, OWNER, NOT_OWNER),
+        RELAYS,
+        replies=(Shed(),) * 4,
+    ),
     Scenario(
         "frozen while it claims, resumes after its deadline",
         (
