Build the program as one file and test it

Cause: savoryarch ships as one binary. Change: make binary makes a zip application with shiv; PyInstaller's one-file launcher runs the program in a child process, which the instances forbid, while a zip application runs in the one process of the interpreter. The stand-ins stay out of it.

--- a/Makefile
+++ b/Makefile
@@ -43,5 +43,8 @@
 capacity: env ## reprint every measured slope and the tables of docs/CAPACITY.md
 	$(BIN)/python -m savoryarch_bench.capacity $(ARGS)
 
-binary: env ## build the one-file program into dist/
-	$(BIN)/python -m savoryarch_bench.binary
+binary: env ## build the one-file program dist/savoryarch
+	rm -rf build/site dist && mkdir dist
+	$(BIN)/pip install --quiet --no-deps --target build/site --requirement requirements.txt .
+	$(BIN)/shiv --site-packages build/site --entry-point savoryarch.cli:main \
+		--python '/usr/bin/env python3.11' --reproducible --output-file dist/savoryarch
--- a/savoryarch_standins/harness/_cluster.py
+++ b/savoryarch_standins/harness/_cluster.py
@@ -72,7 +72,7 @@
         path = self.folder / f"{plan.instance_id}.ini"
         path.write_text(self._entry_settings(plan), encoding="utf-8")
         process = self._start(
-            plan.instance_id, ["-m", "savoryarch", "serve", "--settings", str(path)]
+            plan.instance_id, [*self.plan.program, "serve", "--settings", str(path)]
         )
         self.entries[plan.instance_id] = process
         self._plans[plan.instance_id] = plan
@@ -121,7 +121,7 @@
         path = self.folder / "resources.ini"
         path.write_text(self.services_text() + "\n" + resources, encoding="utf-8")
         operators = next(iter(self.entries.values())).address("operators")
-        arguments = [sys.executable, "-m", "savoryarch", "apply", str(path)]
+        arguments = [sys.executable, *self.plan.program, "apply", str(path)]
         subprocess.run(
             [*arguments, "--operators", f"http://{operators}"], check=True, timeout=APPLY_TIMEOUT_S
         )
--- a/savoryarch_standins/harness/_plans.py
+++ b/savoryarch_standins/harness/_plans.py
@@ -58,6 +58,8 @@
         The entry instances.
     settings : dict of str to dict
         Further settings of each entry instance, by section and key.
+    program : tuple of str
+        Arguments of the interpreter that run the program.
     check_interval_ms : float
         Time between two readiness checks of the balancer.
     balancer_lag_ms : float
@@ -70,6 +72,7 @@
     resources: str = ""
     entries: tuple[EntryPlan, ...] = DEFAULT_ENTRIES
     settings: dict[str, dict[str, str]] = field(default_factory=dict)
+    program: tuple[str, ...] = ("-m", "savoryarch")
     check_interval_ms: float = 200.0
     balancer_lag_ms: float = 100.0
     list_lag_ms: float = 200.0
