--- a/savoryarch/membership/_believe.py
+++ b/savoryarch/membership/_believe.py
@@ -1,6 +1,6 @@
 """Applies statements and observations about a member, along the chart ``member.ini``."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from math import log10
 from typing import Any
@@ -86,17 +86,22 @@
     return decided
 
 
-def meet_listed(
-    state: MembershipState, update: MemberUpdate, now_ms: float
-) -> Decided[MembershipState]:
-    """Add a member that is known from the list only."""
-    member = Member(update, CHART.initial, now_ms)
-    connect = ConnectPeer(update.instance_id, update.host, update.port)
-    return Decided(_with_sets(with_member(state, member), member, ""), (connect,))
+def meet_listed(state: MembershipState, met: Iterable[Member]) -> Decided[MembershipState]:
+    """Add members that are known from the list only."""
+    members = state.members.mutate()
+    added: list[MemberUpdate] = []
+    for member in met:
+        members[member.update.instance_id] = member
+        added.append(member.update)
+    if not added:
+        return Decided(state)
+    live = state.live.union(update.instance_id for update in added)
+    connect = tuple(ConnectPeer(update.instance_id, update.host, update.port) for update in added)
+    return Decided(replace(state, members=members.finish(), live=live, neighbours=None), connect)
 
 
 def _meet(state: MembershipState, update: MemberUpdate, now_ms: float) -> Decided[MembershipState]:
-    decided = meet_listed(state, update, now_ms)
+    decided = meet_listed(state, (Member(update, CHART.initial, now_ms),))
     event = _EVENT_OF_STATUS[update.status]
     return then(decided, observe, update.instance_id, event, now_ms)
 
@@ -141,7 +146,9 @@
 ) -> Decided[MembershipState]:
     member = state.members[instance_id]
     match action:
-        case "spread":
+        case "spread_unless_listed" if member.listed_state is not None:
+            return Decided(state)  # others know it from the list, too, and take it to be live
+        case "spread" | "spread_unless_listed":
             fields = (("peer", instance_id), ("state", member.chart_state))
             effects = (Count("membership", member.chart_state), LogEvent("peer_changed", fields))
             return Decided(start_spreading(state, instance_id), effects)
--- a/savoryarch/membership/_list.py
+++ b/savoryarch/membership/_list.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from savoryarch.membership._believe import meet_listed, observe, then
-from savoryarch.membership._state import MembershipState, with_member
+from savoryarch.membership._state import CHART, Member, MembershipState, with_member
 from savoryarch.model import (
     Count,
     Decided,
@@ -19,13 +19,19 @@
 
 LIST_TIMER = "membership/list"
 JITTER_SHARE = 0.2
+FREQUENT_READERS = 4
 
 
 def next_reading(state: MembershipState, now_ms: float) -> SetTimer:
-    """Return the timer of the next reading, spread so that the instances don't read at once."""
+    """Return the timer of the next reading.
+
+    The more instances there are, the less often each reads, so that neither the calls on the
+    platform nor the bytes of an instance grow with them. What one finds out, it spreads.
+    """
     seed = f"{state.me.instance_id}/{now_ms}"
     share = 1.0 - JITTER_SHARE * (xxhash.xxh32_intdigest(seed.encode()) / 2**32)
-    return SetTimer(LIST_TIMER, now_ms + state.settings.list_interval_ms * share)
+    turns = max(1.0, (len(state.live) + 1) / FREQUENT_READERS)
+    return SetTimer(LIST_TIMER, now_ms + state.settings.list_interval_ms * turns * share)
 
 
 def apply_list(
@@ -43,6 +49,9 @@
     for instance_id in sorted(state.members):
         if instance_id not in rows:
             decided = then(decided, _apply_absence, instance_id, now_ms)
+    newcomers = [rows[instance_id] for instance_id in sorted(set(rows) - set(state.members))]
+    met = (Member(_update_of(row), CHART.initial, now_ms) for row in newcomers)
+    decided = then(decided, meet_listed, met)
     for instance_id in sorted(rows):
         decided = then(decided, _apply_row, rows[instance_id], now_ms)
     return decided
@@ -58,15 +67,15 @@
 def _apply_row(
     state: MembershipState, row: ListedInstance, now_ms: float
 ) -> Decided[MembershipState]:
-    known = state.members.get(row.instance_id)
+    member = state.members[row.instance_id]
+    if member.listed_state is row.state and member.chart_state != "dead":
+        return Decided(state)
     decided: Decided[MembershipState] = Decided(state)
-    if known is None:
-        decided = meet_listed(state, _update_of(row), now_ms)
-    elif known.chart_state == "dead" and _has_moved(row, known.update):
-        update = replace(known.update, host=row.host, port=row.port)
-        decided = Decided(with_member(state, replace(known, update=update)))
+    if member.chart_state == "dead" and _has_moved(row, member.update):
+        update = replace(member.update, host=row.host, port=row.port)
+        decided = Decided(with_member(state, replace(member, update=update)))
         decided = then(decided, observe, row.instance_id, "relisted", now_ms)
-    member = decided.state.members[row.instance_id]
+        member = decided.state.members[row.instance_id]
     # Only a change counts: a list that lags may still show the state of an earlier incarnation.
     is_leaving = row.state is ListedState.LEAVING and member.listed_state is not row.state
     listed = with_member(decided.state, replace(member, listed_state=row.state))
--- a/savoryarch/membership/_settings.py
+++ b/savoryarch/membership/_settings.py
@@ -27,7 +27,10 @@
         2000.0,
     )
     list_interval_ms: float = setting(
-        Number(10, 600_000), "Time in ms between two readings of the instance list.", 2000.0
+        Number(10, 600_000),
+        "Time in ms between two readings of the instance list by one of four instances; with more "
+        "instances, each reads less often.",
+        2000.0,
     )
     pause_ms: float = setting(
         Number(10, 600_000),
--- a/savoryarch/membership/_spread.py
+++ b/savoryarch/membership/_spread.py
@@ -1,6 +1,7 @@
 """Which statements ride on a heartbeat."""
 
 from dataclasses import replace
+from heapq import nsmallest
 from math import ceil, log10
 
 from savoryarch.membership._state import Member, MembershipState
@@ -82,7 +83,10 @@
     spreading = state.spreading
     room_bytes = state.settings.piggyback_bytes
     # Those that were sent least often go first, so that news overtakes what is almost everywhere.
-    for instance_id, sends in sorted(spreading.items(), key=lambda item: (-item[1], item[0])):
+    most = 1 + room_bytes // UPDATE_BYTES
+    for instance_id, sends in nsmallest(
+        most, spreading.items(), key=lambda item: (-item[1], item[0])
+    ):
         member = state.members.get(instance_id)
         update = statement_of(member) if member else None
         if update is not None and _is_worth_telling(update):
--- a/savoryarch/membership/_state.py
+++ b/savoryarch/membership/_state.py
@@ -8,7 +8,9 @@
 from savoryarch.membership._settings import MembershipSettings
 from savoryarch.model import ListedState, MemberStatus, MemberUpdate, SubjectDigest
 
-ACTIONS = frozenset({"ask_itself", "connect", "drop", "spread", "start_suspicion"})
+ACTIONS = frozenset(
+    {"ask_itself", "connect", "drop", "spread", "spread_unless_listed", "start_suspicion"}
+)
 CHART = load_chart("member", ACTIONS)
 LIVE_STATES = frozenset({"listed", "live", "suspected"})
 PROBED_STATES = frozenset({"listed", "live", "suspected", "leaving"})
