--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of single parts; each prints its goals as one JSON line at the end."""
+"""Measurements of slopes and goals; each module prints one JSON line last."""
--- a/savoryarch/configuration/tests/fleet.py
+++ b/savoryarch/configuration/tests/fleet.py
@@ -13,6 +13,7 @@
     AnswerChange,
     AnswerStatus,
     ChangeAsked,
+    ClearNotice,
     ClearTimer,
     DeclarationsInForce,
     Inform,
@@ -24,6 +25,7 @@
     ListKeys,
     PeerSaid,
     PeersChanged,
+    RaiseNotice,
     ReadKey,
     SetTimer,
     Started,
@@ -35,6 +37,7 @@
     TellPeer,
     TellPeers,
     TimerFired,
+    WatchCompacted,
     WatchKeys,
 )
 from savoryarch.resources import RECORD_CODEC
@@ -42,6 +45,9 @@
 STORE_MS = 5.0
 PEER_MS = 1.0
 STORE_TIMEOUT_MS = 1000.0
+LATE_WRITE_MS = 2500.0
+WATCH_LAG_MS = 50.0
+ANY_REVISION = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +58,13 @@
     call: WatchKeys
 
 
+@dataclass(frozen=True, slots=True)
+class EndWatch:
+    """The time when a waiting watch ends."""
+
+    call: WatchKeys
+
+
 class Fleet:
     """The instances, the store and what is on its way."""
 
@@ -62,8 +75,11 @@
         self.states = {}
         self.groups = {}
         self.store_groups = {0}
+        self.store_only = None
         self.loss = 0.0
         self.reply_loss = 0.0
+        self.late_writes = 0.0
+        self.committed = {}
         self.value = (None, 0)
         self.revision = 0
         self.backups = []
@@ -71,8 +87,10 @@
         self.queue = []
         self.timers = {}
         self.answers = {}
+        self.kill_when_answered = set()
         self.statuses = {}
         self.in_force = {}
+        self.notices = {}
         self.store_calls = 0
         self.peer_messages = 0
         self.on_message = None
@@ -164,10 +182,22 @@
                 self.store_calls += 1
                 delay_ms = STORE_MS * (0.5 + self.random.random())
                 self.later(delay_ms, "store", (instance_id, effect))
+            case _:
+                self.note(instance_id, effect)
+
+    def note(self, instance_id, effect):
+        """Keep what operators and the other decisions are told."""
+        match effect:
             case AnswerChange(change_id=change_id, outcome=outcome):
                 self.answers[change_id] = (outcome, self.now_ms, instance_id)
+                if change_id in self.kill_when_answered:
+                    self.kill(instance_id)
             case AnswerStatus(status_id=status_id, status=status):
                 self.statuses[status_id] = status
+            case RaiseNotice(notice=notice):
+                self.notices.setdefault(instance_id, set()).add(notice.notice_id)
+            case ClearNotice(notice_id=notice_id):
+                self.notices[instance_id].remove(notice_id)
             case Inform(event=DeclarationsInForce(declarations=declarations)):
                 self.in_force[instance_id].append(declarations.generation)
 
@@ -179,9 +209,12 @@
             delay_ms = PEER_MS * (0.5 + self.random.random())
             self.later(delay_ms, peer_id, PeerSaid(instance_id, message))
 
-    def serve(self, instance_id, call):
-        """Let the store take a call."""
-        if self.groups.get(instance_id, "gone") not in self.store_groups:
+    def serve(self, instance_id, call, late=False):
+        """Let the store take a call; a late write takes effect after its caller gave up."""
+        if isinstance(call, EndWatch):
+            self.end_watch(Waiter(instance_id, call.call))
+            return
+        if not late and not self.is_reachable(instance_id):
             self.reply(instance_id, call, StoreUnreachable("cut off"), STORE_TIMEOUT_MS)
             return
         value, revision = self.value
@@ -195,17 +228,19 @@
                     () if value is None else (KeyRead("configuration/current", value, revision),)
                 )
                 self.reply(instance_id, call, KeysListed(entries, self.revision))
+            case WatchKeys() if call.since_revision > self.revision:
+                self.reply(instance_id, call, WatchCompacted(self.revision))
             case WatchKeys() if revision > call.since_revision:
                 change = KeyChange("configuration/current", value, revision)
                 self.reply(instance_id, call, KeysChanged((change,), self.revision))
             case WatchKeys():
                 self.waiters.append(Waiter(instance_id, call))
-                self.later(call.wait_ms, "store", (instance_id, ("end", call)))
-            case ("end", call):
-                if Waiter(instance_id, call) in self.waiters:
-                    self.waiters.remove(Waiter(instance_id, call))
-                    self.reply(instance_id, call, KeysChanged((), self.revision))
-            case SwapKey() if call.expected_revision != revision:
+                self.later(call.wait_ms, "store", (instance_id, EndWatch(call)))
+            case SwapKey() if not late and self.random.random() < self.late_writes:
+                self.later(LATE_WRITE_MS, "store", (instance_id, call, True))
+                unreachable = StoreUnreachable("no reply in time")
+                self.reply(instance_id, call, unreachable, STORE_TIMEOUT_MS)
+            case SwapKey() if call.expected_revision not in (ANY_REVISION, revision):
                 self.reply(instance_id, call, SwapConflict(call.key, revision))
             case SwapKey():
                 self.write(call.value)
@@ -213,14 +248,26 @@
 
     def write(self, value):
         self.revision += 1
+        version = RECORD_CODEC.decode_record(value).version
+        self.committed.setdefault(version.generation, set()).add(version.change_id)
         self.value = (value, self.revision)
         self.backups.append(self.value)
         waiters, self.waiters = self.waiters, []
         for waiter in waiters:
-            change = KeyChange("configuration/current", value, self.revision)
-            self.reply(waiter.instance_id, waiter.call, KeysChanged((change,), self.revision))
+            self.later(WATCH_LAG_MS, "store", (waiter.instance_id, waiter.call))
+
+    def end_watch(self, waiter):
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+            self.reply(waiter.instance_id, waiter.call, KeysChanged((), self.revision))
+
+    def is_reachable(self, instance_id):
+        if self.store_only is not None:
+            return instance_id in self.store_only
+        return self.groups.get(instance_id, "gone") in self.store_groups
 
     def reply(self, instance_id, call, reply, delay_ms=STORE_MS, loses=False):
-        if loses and self.random.random() < self.reply_loss:
+        lost = loses and self.random.random() < self.reply_loss
+        if lost or not self.is_reachable(instance_id):
             reply, delay_ms = StoreUnreachable("reply lost"), STORE_TIMEOUT_MS
         self.later(delay_ms, instance_id, StoreReplied(call.call_id, reply))
--- a/savoryarch/search/_sending.py
+++ b/savoryarch/search/_sending.py
@@ -12,10 +12,11 @@
     SnapshotId,
 )
 from savoryarch.search._budget import Budget, spend
+from savoryarch.search._guard import may_run_at, note_sent
 from savoryarch.search._settings import FixedDelayHedging, NoHedging, QuantileHedging
 from savoryarch.search._state import Attempt, Purpose, SearchState, Shard
 from savoryarch.search._turn import Turn, emit, put_shard
-from savoryarch.targets import TargetsState, begin_attempt, choose_target
+from savoryarch.targets import begin_attempt, choose_target, is_suspect
 
 ROOM_TIMER = "search/room/"
 SLOW_TIMER = "search/slow/"
@@ -32,14 +33,17 @@
 
 
 def choose(turn: Turn, service: str, exclude: frozenset[str]) -> str | None:
-    """Choose a target with room that serves the query's snapshot."""
-    return choose_target(
+    """Choose a target with room that serves the query's snapshot and that it may run at."""
+    target_id = choose_target(
         turn.targets,
         service,
         exclude=exclude,
         snapshot=turn.query.snapshot,
         now_ms=turn.now_ms,
     )
+    if target_id is None or not may_run_at(turn, service, target_id):
+        return None
+    return target_id
 
 
 def send_attempt(turn: Turn, service: str, shard: Shard, target_id: str, purpose: Purpose) -> Turn:
@@ -57,7 +61,7 @@
         snapshot=snapshot,
         begun_at_ms=now_ms,
     )
-    check_at_ms = now_ms + slow_after_ms(state, turn.targets, service)
+    check_at_ms = now_ms + slow_after_ms(turn, service, target_id)
     if shard.attempt_ids:
         check_at_ms = min(check_at_ms, shard.check_at_ms)
     shard = replace(
@@ -74,7 +78,12 @@
     )
     turn = replace(
         turn,
-        state=replace(state, sent=state.sent + 1, attempts=state.attempts.set(attempt_id, attempt)),
+        state=replace(
+            state,
+            sent=state.sent + 1,
+            attempts=state.attempts.set(attempt_id, attempt),
+            quarantine=note_sent(turn, attempt),
+        ),
         targets=begin_attempt(turn.targets, target_id, now_ms),
         query=replace(
             query,
@@ -95,9 +104,13 @@
     return emit(turn, SetTimer(SLOW_TIMER + query.request_id, at_ms))
 
 
-def slow_after_ms(state: SearchState, targets: TargetsState, service: str) -> float:
-    """Return how long an attempt may take before it counts as slow."""
-    hedging = state.settings.hedging
+def slow_after_ms(turn: Turn, service: str, target_id: str) -> float:
+    """Return how long an attempt may take before it counts as slow.
+
+    The delay grows as the budget empties, so that it is spent on the slowest attempts. An attempt
+    that tries a slow target again gets little time.
+    """
+    hedging = turn.state.settings.hedging
     match hedging:
         case FixedDelayHedging(delay_ms=delay_ms):
             return delay_ms
@@ -105,8 +118,19 @@
             hedging = QuantileHedging()
         case QuantileHedging():
             pass
-    tail = targets.services[service].tail
-    return tail.value_ms if tail.samples >= hedging.least_samples else hedging.first_delay_ms
+    known = turn.targets.services[service].histogram
+    if known.samples < hedging.least_samples:
+        return hedging.first_delay_ms
+    if is_suspect(turn.targets.uses[target_id]):
+        return known.median_ms
+    return known.tail_ms * (2.0 - _budget_level(turn))
+
+
+def _budget_level(turn: Turn) -> float:
+    """Return 1 while at least half of the budget is there, down to 0 when it is spent."""
+    budget = turn.state.budgets.get(turn.query.search.name)
+    burst = max(turn.state.settings.extra_load_burst, 1)
+    return min(1.0, 2.0 * budget.tokens / burst) if budget else 1.0
 
 
 def pay(turn: Turn, requests: int = 1) -> Turn | None:
@@ -118,6 +142,13 @@
     return replace(turn, state=replace(turn.state, budgets=turn.state.budgets.set(name, budget)))
 
 
+def give_back(turn: Turn) -> Turn:
+    """Put the price of an extra sub-request back, because nothing of it has run."""
+    name = turn.query.search.name
+    budget = Budget(turn.state.budgets.get(name, Budget(0.0)).tokens + 1.0)
+    return replace(turn, state=replace(turn.state, budgets=turn.state.budgets.set(name, budget)))
+
+
 def cancel_attempt(turn: Turn, attempt_id: str) -> Turn:
     """Stop wanting an attempt; its place at the target is held until it ends."""
     attempt = turn.state.attempts[attempt_id]
--- a/savoryarch/search/tests/driver.py
+++ b/savoryarch/search/tests/driver.py
@@ -5,14 +5,18 @@
 
 from immutables import Map
 
+from savoryarch.admission import AdmissionSettings
 from savoryarch.model import (
     AnswerSearch,
     AttemptEnded,
     CancelAttempt,
     Cancelled,
     ClearTimer,
+    DeadlinePassed,
     Declarations,
     DeclarationsInForce,
+    Draining,
+    NotSent,
     PartReturned,
     ProbeTarget,
     Search,
@@ -21,13 +25,16 @@
     Service,
     SetTimer,
     ShardMap,
+    Shed,
     Sign,
     SnapshotId,
+    SnapshotNotServed,
     Target,
     TargetSigned,
     TimedOut,
     TimerFired,
 )
+from savoryarch.quarantine import QuarantineSettings
 from savoryarch.search import SearchSettings, decide_search, make_search_state
 from savoryarch.targets import TargetsSettings, decide_targets, make_targets_state
 
@@ -65,16 +72,30 @@
 class Driver:
     """Feeds events in order of time; replies come from a script per attempt."""
 
-    def __init__(self, declarations=None, script: Script | None = None, search=None, targets=None):
+    def __init__(
+        self,
+        declarations=None,
+        script: Script | None = None,
+        search=None,
+        targets=None,
+        admission=None,
+        quarantine=None,
+    ):
         self.now_ms = 0.0
         self.script = script or (lambda send, now_ms: returned(send))
         self.probe_snapshots = lambda target_id: (OLD, NEW)
-        self.search = make_search_state(search or SearchSettings())
+        self.search = make_search_state(
+            search or SearchSettings(),
+            admission or AdmissionSettings(),
+            quarantine or QuarantineSettings(),
+        )
         self.targets = make_targets_state(targets or TargetsSettings("zone-a"))
         self.answers: dict[str, list] = {}
         self.answered_at_ms: dict[str, float] = {}
         self.sends: list[SendAttempt] = []
         self.cancelled: list[str] = []
+        self.replies: dict[str, object] = {}
+        self.asked_for: dict[str, str] = {}  # request id by attempt id
         self.effects: list[object] = []
         self._due: list = []
         self._order = 0
@@ -105,6 +126,8 @@
                 continue
             if isinstance(event, AttemptEnded) and not self._open.pop(event.attempt_id, None):
                 continue
+            if isinstance(event, AttemptEnded):
+                self.replies[event.attempt_id] = event.reply
             self.now_ms = max(self.now_ms, at_ms)
             self.offer(event)
         self.now_ms = max(self.now_ms, until_ms)
@@ -113,8 +136,18 @@
         (outcome,) = self.answers[request_id]
         return outcome
 
+    def replied_not_run(self, attempt_id: str) -> bool:
+        """Return whether the attempt ended with the target's word that nothing ran."""
+        match self.replies.get(attempt_id):
+            case SnapshotNotServed() | Shed() | Draining() | NotSent():
+                return True
+            case DeadlinePassed(not_run=not_run):
+                return not_run
+            case _:
+                return False
+
     def in_flight(self) -> dict[str, int]:
-        return {key: record.in_flight for key, record in self.targets.records.items()}
+        return {key: use.in_flight for key, use in self.targets.uses.items()}
 
     def _perform(self, effects) -> None:
         self.effects += effects
@@ -140,6 +173,9 @@
 
     def _send(self, send: SendAttempt) -> None:
         self.sends.append(send)
+        if attempt := self.search.attempts.get(send.attempt_id):
+            self.asked_for[send.attempt_id] = attempt.request_id
+            assert attempt.request_id not in self.answers, "sent after the answer"
         self._open[send.attempt_id] = send.target_id
         after_ms, reply = self.script(send, self.now_ms)
         at_ms = min(self.now_ms + after_ms, send.deadline_at_ms)
--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -1,9 +1,9 @@
 """Targets: whether they are live, what they serve, and how much of each may be used."""
 
 from savoryarch.targets._attempts import begin_attempt, deny_snapshot, end_attempt, note_overdue
-from savoryarch.targets._choose import can_serve, choose_target
+from savoryarch.targets._choose import can_serve, choose_target, has_room
 from savoryarch.targets._decide import decide_targets
-from savoryarch.targets._limits import connection_share, in_flight_limit
+from savoryarch.targets._limits import connection_share, in_flight_limit, is_suspect
 from savoryarch.targets._settings import (
     ChoicePolicy,
     LeastExpectedLatency,
@@ -14,6 +14,7 @@
     ServiceRecord,
     TargetRecord,
     TargetsState,
+    TargetUse,
     make_targets_state,
 )
 
@@ -23,6 +24,7 @@
     "RoundRobin",
     "ServiceRecord",
     "TargetRecord",
+    "TargetUse",
     "TargetsSettings",
     "TargetsState",
     "begin_attempt",
@@ -32,7 +34,9 @@
     "decide_targets",
     "deny_snapshot",
     "end_attempt",
+    "has_room",
     "in_flight_limit",
+    "is_suspect",
     "make_targets_state",
     "note_overdue",
 ]
