--- a/savoryarch/membership/_spread.py
+++ b/savoryarch/membership/_spread.py
@@ -107,8 +107,10 @@
     taken: list[MemberUpdate] = []
     for instance_id, member in sorted(state.members.items()):
         is_as_listed = member.chart_state in ("listed", "live") and member.listed_state
+        if is_as_listed or instance_id == peer_id:
+            continue
         update = statement_of(member)
-        if is_as_listed or instance_id == peer_id or not _is_worth_telling(update):
+        if not _is_worth_telling(update):
             continue
         room_bytes -= _size_bytes(update)
         if room_bytes < 0:
--- /dev/null
+++ b/tests/process/conftest.py
@@ -0,0 +1,67 @@
+"""A cluster of four entry instances, behind a balancer that lags by two seconds."""
+
+from threading import Event
+
+import pytest
+import requests
+
+from savoryarch_standins.harness import Cluster, ClusterPlan
+
+TIMEOUT_S = 20.0
+RETRY_INTERVAL_S = 0.05
+RESOURCES = """
+[search counter]
+shard_maps =
+    1: balcao-01 balcao-02 balcao-03
+deadline_ms = 2000
+
+[route order]
+service = pedidos
+deadline_ms = 2000
+"""
+PLAN = ClusterPlan(
+    settings={"shutdown": {"balancer_lag_ms": "3000"}},
+    check_interval_ms=200.0,
+    balancer_lag_ms=2000.0,
+    list_lag_ms=2000.0,
+)
+
+
+@pytest.fixture(scope="session")
+def running_cluster():
+    with Cluster(PLAN) as cluster:
+        cluster.declare(RESOURCES)
+        yield cluster
+
+
+@pytest.fixture
+def cluster(running_cluster):
+    """The cluster with every entry instance running, configured and balanced."""
+    for plan in PLAN.entries:
+        entry = running_cluster.entries.get(plan.instance_id)
+        if entry is None or not entry.is_running():
+            running_cluster.start_entry(plan)
+    for entry in running_cluster.entries.values():
+        wait_for_configuration(entry)
+    running_cluster.wait_until_balanced(tuple(running_cluster.entries))
+    return running_cluster
+
+
+def wait_for_configuration(entry):
+    url = f"http://{entry.address('operators')}/v1/watch?since_revision=0&wait_ms=15000"
+    assert requests.get(url, timeout=TIMEOUT_S).json()["generation"] > 0
+
+
+@pytest.fixture
+def retry():
+    """Return a function that waits until a condition holds."""
+
+    def wait(condition, timeout_s):
+        pause = Event()
+        for _ in range(int(timeout_s / RETRY_INTERVAL_S)):
+            if condition():
+                return
+            pause.wait(RETRY_INTERVAL_S)
+        raise AssertionError("the condition did not become true")
+
+    return wait
