Derive notices from facts that last longer than ordinary faults

Cause: operators should hear only of what needs their decision. Change: the notices look at a few facts now and then: services without a live target, availability zones out of reach, limits that leave no connection, requests that are quarantined again. One notice per cause; it closes itself.

--- /dev/null
+++ b/savoryarch/notices/_observe.py
@@ -0,0 +1,65 @@
+"""What the notices are derived from: a few facts of the other decisions, looked at now and then."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from savoryarch.quarantine import QuarantineState
+from savoryarch.targets import TargetsState
+
+LIVE = "live"
+
+
+@dataclass(frozen=True, slots=True)
+class TierObserved:
+    """The facts.
+
+    Parameters
+    ----------
+    declared_services : int
+        Declared services.
+    services_down : tuple of str
+        Services without a live target.
+    services_without_connections : tuple of str
+        Groups of services (or services without a group) whose targets leave this instance no
+        connection.
+    zones_cut : tuple of str
+        Availability zones whose entry instances are out of reach.
+    quarantined : tuple of str
+        Fingerprints of the requests that are quarantined now.
+    """
+
+    declared_services: int = 0
+    services_down: tuple[str, ...] = ()
+    services_without_connections: tuple[str, ...] = ()
+    zones_cut: tuple[str, ...] = ()
+    quarantined: tuple[str, ...] = ()
+
+
+def observe(
+    targets: TargetsState,
+    quarantine: QuarantineState,
+    unreachable_zones: tuple[str, ...],
+    now_ms: float,
+) -> TierObserved:
+    """Look at the other decisions' states."""
+    live: dict[str, int] = defaultdict(int)
+    connections: dict[str, int] = defaultdict(int)
+    for record in targets.records.values():
+        live[record.target.service] += record.life == LIVE
+        connections[record.target.service] += record.max_connections
+    services = sorted(targets.declared.values(), key=lambda item: item.name)
+    return TierObserved(
+        declared_services=len(services),
+        services_down=tuple(item.name for item in services if not live[item.name]),
+        services_without_connections=tuple(
+            sorted({item.group or item.name for item in services if not connections[item.name]})
+        ),
+        zones_cut=unreachable_zones,
+        quarantined=tuple(
+            sorted(
+                fingerprint
+                for fingerprint, record in quarantine.records.items()
+                if record.quarantined_until_ms > now_ms
+            )
+        ),
+    )
--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -8,6 +8,7 @@
 from savoryarch.configuration import ConfigurationSettings
 from savoryarch.exceptions import FindingsError
 from savoryarch.membership import MembershipSettings
+from savoryarch.notices import NoticesSettings
 from savoryarch.orders import OrdersSettings
 from savoryarch.quarantine import QuarantineSettings
 from savoryarch.search import SearchSettings
@@ -53,6 +54,7 @@
     membership: MembershipSettings
     shutdown: ShutdownSettings
     configuration: ConfigurationSettings
+    notices: NoticesSettings
 
 
 SECTIONS: dict[str, type] = {name: kind for name, kind in get_type_hints(Settings).items()}
