Ask for keys wherever an address is not on loopback

Cause: the operators' address and that of peers must not be open to strangers. Change: hashes of tokens with read and write roles, certificates for HTTPS and for peers in the settings; check refuses an address outside of loopback without them, each with its line.

--- a/savoryarch/api/__init__.py
+++ b/savoryarch/api/__init__.py
@@ -3,6 +3,7 @@
 from savoryarch.api._access import Access, Role, Token, find_role, hash_token, make_token
 from savoryarch.api._app import make_operator_app
 from savoryarch.api._bridge import OperatorBridge, OperatorState
+from savoryarch.api._tls import make_tls_options
 
 __all__ = [
     "Access",
@@ -13,5 +14,6 @@
     "find_role",
     "hash_token",
     "make_operator_app",
+    "make_tls_options",
     "make_token",
 ]
--- /dev/null
+++ b/savoryarch/settings/_access.py
@@ -0,0 +1,64 @@
+"""Checks that what is reached from outside of the machine asks for keys."""
+
+from collections.abc import Iterator
+from ipaddress import ip_address
+from pathlib import Path
+
+from savoryarch.settings._sections import OperatorsSettings, PeersSettings
+from savoryarch.utils import Finding, IniDocument, IniSection, Place, place_of
+
+
+def check_access(
+    operators: OperatorsSettings, peers: PeersSettings, document: IniDocument
+) -> Iterator[Finding]:
+    """Yield what is wrong with the keys; addresses on loopback need none."""
+    yield from _check_operators(operators, _section(document, "operators"))
+    yield from _check_peers(peers, _section(document, "peers"))
+
+
+def _check_operators(operators: OperatorsSettings, section: IniSection) -> Iterator[Finding]:
+    files = ("tls_certificate_file", "tls_key_file")
+    given = [name for name in files if getattr(operators, name)]
+    if len(given) == 1:
+        missing = next(name for name in files if name not in given)
+        yield Finding(place_of(section, given[0]), f"expected {missing} as well")
+    yield from _check_files(operators, files, section)
+    if ip_address(operators.host).is_loopback:
+        return
+    wanted = [name for name in files if not getattr(operators, name)]
+    if not operators.write_token_hashes:
+        wanted.append("write_token_hashes")
+    yield from _check_wanted(operators.host, wanted, section)
+
+
+def _check_peers(peers: PeersSettings, section: IniSection) -> Iterator[Finding]:
+    files = ("tls_certificate_file", "tls_authority_file")
+    given = [name for name in files if getattr(peers, name)]
+    if len(given) == 1:
+        missing = next(name for name in files if name not in given)
+        yield Finding(place_of(section, given[0]), f"expected {missing} as well")
+    yield from _check_files(peers, files, section)
+    if not ip_address(peers.host).is_loopback:
+        wanted = [name for name in files if not getattr(peers, name)]
+        yield from _check_wanted(peers.host, wanted, section)
+
+
+def _check_wanted(host: str, wanted: list[str], section: IniSection) -> Iterator[Finding]:
+    if wanted:
+        yield Finding(
+            place_of(section, "host"),
+            f"got {host}, which is not on loopback; expected {', '.join(wanted)} as well",
+        )
+
+
+def _check_files(
+    settings: OperatorsSettings | PeersSettings, names: tuple[str, ...], section: IniSection
+) -> Iterator[Finding]:
+    for name in names:
+        path = getattr(settings, name)
+        if path and not Path(path).is_file():
+            yield Finding(place_of(section, name), f"file {path!r} does not exist")
+
+
+def _section(document: IniDocument, name: str) -> IniSection:
+    return document.get(name) or IniSection(name, Place(document.source, 0, name), ())
--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -12,6 +12,7 @@
 from savoryarch.orders import OrdersSettings
 from savoryarch.quarantine import QuarantineSettings
 from savoryarch.search import SearchSettings
+from savoryarch.settings._access import check_access
 from savoryarch.settings._sections import (
     CallersSettings,
     InstanceSettings,
@@ -103,6 +104,9 @@
         section = document.get(name) or IniSection(name, Place(source, 0, name), ())
         values[name], more = read_section(_inherit(section, kind, document), kind)
         findings += more
+    operators, peers = values.get("operators"), values.get("peers")
+    if operators and peers:
+        findings += check_access(operators, peers, document)
     return (None if findings else Settings(**values)), tuple(findings)
 
 
--- a/savoryarch/settings/_sections.py
+++ b/savoryarch/settings/_sections.py
@@ -3,9 +3,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from savoryarch.utils import NAME, PORT, URL, Address, OneOf, setting
+from savoryarch.utils import NAME, PORT, URL, Address, OneOf, Text, Words, setting
 
 LOOPBACK = "127.0.0.1"
+TOKEN_HASHES = Words(r"[0-9a-f]{64}", "the token_hash that 'savoryarch token' writes")
+FILE = Text(r"\S.*", "/etc/savoryarch/operators.pem")
 
 
 class LogLevel(Enum):
@@ -35,18 +37,35 @@
 
 @dataclass(frozen=True, slots=True)
 class OperatorsSettings:
-    """Where operators reach this instance."""
+    """Where operators reach this instance, and who may do what."""
 
     host: str = setting(Address(), "IP number to listen on", LOOPBACK)
     port: int = setting(PORT, "TCP port for operators; 0 takes a free one", 8081)
+    read_token_hashes: tuple[str, ...] = setting(
+        TOKEN_HASHES, "hashes of the tokens that may read", ()
+    )
+    write_token_hashes: tuple[str, ...] = setting(
+        TOKEN_HASHES, "hashes of the tokens that may read and change", ()
+    )
+    tls_certificate_file: str = setting(FILE, "certificate chain for HTTPS, PEM", "")
+    tls_key_file: str = setting(FILE, "private key for HTTPS, PEM", "")
 
 
 @dataclass(frozen=True, slots=True)
 class PeersSettings:
-    """Where other instances reach this instance."""
+    """Where other instances reach this instance, and how they prove who they are."""
 
     host: str = setting(Address(), "IP number to listen on", LOOPBACK)
     port: int = setting(PORT, "TCP port for peers; 0 takes a free one", 8082)
+    tls_certificate_file: str = setting(
+        FILE, "certificate and private key of this instance in one file, PEM", ""
+    )
+    tls_authority_file: str = setting(
+        FILE, "certificate of the authority that signed those of all instances, PEM", ""
+    )
+    tls_server_name: str = setting(
+        NAME, "name that the certificates of all instances carry", "savoryarch"
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/settings/tests/test_settings.py
+++ b/savoryarch/settings/tests/test_settings.py
@@ -48,6 +48,29 @@
                 "i.ini:7 callers.prt: key 'prt' is unknown; did you mean 'port'?",
             ],
         ),
+        (
+            INSTANCE + "[operators]\nhost = 10.0.0.1\n[peers]\nhost = 10.0.0.1",
+            [
+                "i.ini:5 operators.host: got 10.0.0.1, which is not on loopback; expected "
+                "tls_certificate_file, tls_key_file, write_token_hashes as well",
+                "i.ini:7 peers.host: got 10.0.0.1, which is not on loopback; expected "
+                "tls_certificate_file, tls_authority_file as well",
+            ],
+        ),
+        (
+            INSTANCE + "[operators]\ntls_key_file = absent.pem\nread_token_hashes = secret",
+            [
+                "i.ini:6 operators.read_token_hashes: got 'secret', expected words such as "
+                "\"the token_hash that 'savoryarch token' writes\"",
+            ],
+        ),
+        (
+            INSTANCE + "[operators]\ntls_key_file = absent.pem",
+            [
+                "i.ini:5 operators.tls_key_file: expected tls_certificate_file as well",
+                "i.ini:5 operators.tls_key_file: file 'absent.pem' does not exist",
+            ],
+        ),
         ("instance_id = x", ["i.ini:1: got an entry, expected a '[section]' first"]),
     ],
 )
