--- a/savoryarch/settings/__init__.py
+++ b/savoryarch/settings/__init__.py
@@ -1,5 +1,6 @@
 """The settings file of one instance: INI sections, checked as a whole."""
 
+from savoryarch.settings._describe import FieldRow, describe_fields, format_fields
 from savoryarch.settings._load import SECTIONS, Settings, load_settings, parse_settings
 from savoryarch.settings._sections import (
     CallersSettings,
@@ -14,6 +15,7 @@
 __all__ = [
     "SECTIONS",
     "CallersSettings",
+    "FieldRow",
     "InstanceSettings",
     "LogLevel",
     "LogSettings",
@@ -21,6 +23,8 @@
     "PeersSettings",
     "PlatformSettings",
     "Settings",
+    "describe_fields",
+    "format_fields",
     "load_settings",
     "parse_settings",
 ]
--- /dev/null
+++ b/savoryarch/settings/_describe.py
@@ -0,0 +1,94 @@
+"""Describes declared fields for people, from their constraints."""
+
+from dataclasses import MISSING, Field, dataclass, fields
+from enum import Enum
+
+from savoryarch.utils import Address, Constraint, Number, OneOf, Switch, Text, Words
+
+_UNITS = {"_ms": "ms", "_bytes": "bytes", "_s": "s"}
+
+
+@dataclass(frozen=True, slots=True)
+class FieldRow:
+    """One field of a settings section or a resource.
+
+    Parameters
+    ----------
+    name, accepts, description : str
+        For the page.
+    default : str
+        Empty if the field is required.
+    """
+
+    name: str
+    accepts: str
+    default: str
+    description: str
+
+
+def describe_fields(kind: type) -> tuple[FieldRow, ...]:
+    """Return a row for each field that `setting` declared."""
+    return tuple(
+        FieldRow(
+            name=item.name,
+            accepts=_describe(item.metadata["constraint"], _unit(item.name)),
+            default=_default(item),
+            description=item.metadata["description"].rstrip("."),
+        )
+        for item in fields(kind)
+        if "constraint" in item.metadata
+    )
+
+
+def format_fields(kind: type) -> str:
+    """Format the fields of a section or a resource as a Markdown table."""
+    lines = ["| key | accepts | default | what it is |", "|---|---|---|---|"]
+    for row in describe_fields(kind):
+        default = f"`{row.default}`" if row.default else "required"
+        if row.default == '""':
+            default = "empty"
+        description = row.description[:1].lower() + row.description[1:]
+        lines.append(f"| `{row.name}` | {row.accepts} | {default} | {description} |")
+    return "\n".join(lines)
+
+
+def _describe(constraint: Constraint, unit: str) -> str:
+    suffix = f" {unit}" if unit else ""
+    match constraint:
+        case Number(low=low, high=high, whole=whole):
+            kind = "whole number" if whole else "number"
+            return f"{kind}, {_number(low)} to {_number(high)}{suffix}"
+        case OneOf(choices=choices):
+            return ", ".join(f"`{choice.value}`" for choice in choices)
+        case Text(example=example):
+            return f"text such as `{example}`"
+        case Words(example=example):
+            return f"words, such as {example}"
+        case Address():
+            return "IP number"
+        case Switch():
+            return "`yes` or `no`"
+
+
+def _default(item: Field) -> str:
+    if item.default is MISSING:
+        return ""
+    match item.default:
+        case bool() as flag:
+            return "yes" if flag else "no"
+        case Enum() as choice:
+            return str(choice.value)
+        case int() | float() as value:
+            return _number(value)
+        case () | "":
+            return '""'
+        case value:
+            return str(value)
+
+
+def _number(value: float) -> str:
+    return f"{value:,.10g}".replace(",", "")
+
+
+def _unit(name: str) -> str:
+    return next((unit for suffix, unit in _UNITS.items() if name.endswith(suffix)), "")
