Encrypt and authenticate the traffic between peers

Cause: whoever reaches a peer address is taken for a peer; and nng keeps 30 threads of its own in each process. Change: PeerTls, mutual TLS by nng: a listener takes only certificates of the authority of the instances, a dialer speaks only to those with the shared name. Two task threads and one of each other kind. bench_peers measures both. Limits: nng drops a failed handshake without a word, so strangers are refused but not counted; frames of strangers without TLS are counted by reason.

--- /dev/null
+++ b/benchmarks/bench_peers.py
@@ -0,0 +1,153 @@
+"""Cost of a peer message, and threads, sockets and memory of the peer transport.
+
+Every process has a transport in a reactor of its own; the child processes each hold one peer.
+"""
+
+import argparse
+import json
+import resource
+import statistics
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from twisted.internet.epollreactor import EPollReactor
+
+from savoryarch import model
+from savoryarch.codec import make_message_codec
+from savoryarch.model import MemberStatus, MemberUpdate, Ping, SubjectDigest
+from savoryarch.peers import PeerTransport
+
+WINDOW_MESSAGES = 32
+MESSAGES_PER_S = 10.0  # control messages of all subjects that an instance sends and receives
+CORE_SHARE = 0.015
+CONTROL_MEMORY_KB = 32 * 1024
+NEIGHBOURS = 10
+CONNECT_WAIT_S = 0.05
+SENDER = MemberUpdate("entry-1", "zone-a", "127.0.0.1", 7000, 1790000000000, 1, MemberStatus.LIVE)
+PING = Ping(1, SENDER, (SENDER,), (SubjectDigest("configuration", 7, "0123456789abcdef"),))
+
+PEER_PROCESS = """
+import sys
+from benchmarks.bench_peers import make_transport
+from twisted.internet.epollreactor import EPollReactor
+reactor = EPollReactor()
+transport = make_transport(reactor, "peer", lambda peer_id, message: None)
+print(transport.port, flush=True)
+reactor.run()
+"""
+
+
+def make_transport(reactor, instance_id, receive):
+    codec = make_message_codec(model)
+    return PeerTransport(
+        reactor, "127.0.0.1", 0, instance_id, 1, receive, codec.encode_frame, codec.decode_frame
+    )
+
+
+def measure_message_us(messages, seed):
+    """Return CPU per message in us: encode, frame, send, receive, decode, in one process."""
+    reactor = EPollReactor()
+    got = []
+    first = make_transport(reactor, f"first-{seed}", lambda peer_id, message: got.append(1))
+    second = make_transport(reactor, f"second-{seed}", lambda peer_id, message: None)
+    second.connect(f"first-{seed}", "127.0.0.1", first.port)
+    second.send(f"first-{seed}", PING)
+    while not got:
+        reactor.iterate(1.0)
+    started_s = time.process_time()
+    for _ in range(messages // WINDOW_MESSAGES):
+        wanted = len(got) + WINDOW_MESSAGES
+        for _ in range(WINDOW_MESSAGES):
+            second.send(f"first-{seed}", PING)
+        while len(got) < wanted:
+            reactor.iterate(1.0)
+    cpu_s = time.process_time() - started_s
+    first.close()
+    second.close()
+    return cpu_s / messages * 1e6
+
+
+def read_status():
+    """Return resident memory in KB, threads, and open files of this process."""
+    status = dict(line.split(":", 1) for line in Path("/proc/self/status").read_text().splitlines())
+    files = len(list(Path("/proc/self/fd").iterdir()))
+    return int(status["VmRSS"].split()[0]), int(status["Threads"]), files
+
+
+def measure_start():
+    """Return the KB, threads and files that the first transport of a process adds."""
+    before = read_status()
+    transport = make_transport(EPollReactor(), "first", lambda peer_id, message: None)
+    after = read_status()
+    transport.close()
+    return tuple(now - then for now, then in zip(after, before, strict=True))
+
+
+def measure_connections(counts):
+    """Return (connections, KB, threads, files) as connections to one peer process are opened."""
+    child = subprocess.Popen([sys.executable, "-c", PEER_PROCESS], stdout=subprocess.PIPE)
+    try:
+        port = int(child.stdout.readline())
+        reactor = EPollReactor()
+        before = read_status()
+        transport = make_transport(reactor, "first", lambda peer_id, message: None)
+        rows = [(0, *(now - then for now, then in zip(read_status(), before, strict=True)))]
+        opened = 0
+        for count in counts:
+            for number in range(opened, count):
+                transport.connect(f"peer-{number}", "127.0.0.1", port)
+                transport.send(f"peer-{number}", PING)
+                reactor.iterate(0)
+            opened = count
+            while read_status()[2] - before[2] < count:
+                reactor.iterate(CONNECT_WAIT_S)
+            used = (now - then for now, then in zip(read_status(), before, strict=True))
+            rows.append((count, *used))
+        transport.close()
+        return rows
+    finally:
+        child.kill()
+        child.wait()
+        child.stdout.close()
+
+
+def goal(name, measured, bound, unit, baseline=None):
+    return {
+        "name": name,
+        "measured": round(measured, 5),
+        "bound": bound,
+        "unit": unit,
+        "holds": measured <= bound,
+        "baseline": baseline,
+    }
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--messages", type=int, default=20_000)
+    arguments = parser.parse_args()
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    print(f"open files allowed: {soft} of {hard}")
+    memory_kb, threads, _ = measure_start()
+    print(f"first transport of a process: {memory_kb} KB, {threads} threads of nng")
+    costs = [measure_message_us(arguments.messages, seed) for seed in range(3)]
+    print("CPU us per message, sent and received in one process:", [round(c, 1) for c in costs])
+    rows = measure_connections((NEIGHBOURS, 100, 300))
+    print("connections  memory KB  threads  files")
+    for row in rows:
+        print("{:11}  {:9}  {:7}  {:5}".format(*row))
+    per_connection_kb = (rows[-1][1] - rows[1][1]) / (rows[-1][0] - rows[1][0])
+    print(f"memory per further connection: {per_connection_kb:.1f} KB")
+    cost_us = statistics.median(costs)
+    goals = [
+        goal("core share of 10 messages/s", cost_us * MESSAGES_PER_S / 1e6, CORE_SHARE, "cores"),
+        goal("memory of the transport, 10 peers", memory_kb + rows[1][1], CONTROL_MEMORY_KB, "KB"),
+        goal("memory per connection", per_connection_kb, 50.0, "KB"),
+    ]
+    print(json.dumps({"goals": goals}))
+
+
+if __name__ == "__main__":
+    main()
--- a/savoryarch/peers/_transport.py
+++ b/savoryarch/peers/_transport.py
@@ -18,6 +18,7 @@
     read_frame,
     write_frame,
 )
+from savoryarch.peers._tls import PeerTls, limit_threads, make_dialer_tls, make_listener_tls
 
 MAX_MESSAGES_PER_WAKE_UP = 64
 SEND_BUFFER_MESSAGES = 64
@@ -103,6 +104,8 @@
         Message to bytes and back; `decode` raises ``CodecError`` on what it does not know.
     counts : PeerCounts, optional
         Called for each message.
+    tls : PeerTls, optional
+        Without it, anybody who reaches the address is taken for a peer.
     """
 
     def __init__(
@@ -116,7 +119,9 @@
         encode: Callable[[object], bytes],
         decode: Callable[[bytes], object],
         counts: PeerCounts | None = None,
+        tls: PeerTls | None = None,
     ) -> None:
+        limit_threads()
         self._reactor = reactor
         self._instance_id = instance_id
         self._incarnation = incarnation
@@ -128,10 +133,14 @@
         self._sockets: dict[str, pynng.Push0] = {}
         self._used: set[str] = set()
         self._incarnations: dict[str, int] = {}
+        self._scheme = "tls+tcp" if tls else "tcp"
+        self._dialer_tls = make_dialer_tls(tls) if tls else None
         self._listener = pynng.Pull0(
-            recv_buffer_size=RECEIVE_BUFFER_MESSAGES, recv_max_size=MAX_FRAME_BYTES
+            recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
+            recv_max_size=MAX_FRAME_BYTES,
+            tls_config=make_listener_tls(tls) if tls else None,
         )
-        bound = self._listener.listen(f"tcp://{host}:{port}")
+        bound = self._listener.listen(f"{self._scheme}://{host}:{port}")
         self.port = _port_of(bound)
         self._receiver = _Receiver(self._listener, self._receive)
         reactor.addReader(self._receiver)
@@ -210,8 +219,9 @@
                 send_buffer_size=SEND_BUFFER_MESSAGES,
                 reconnect_time_min=RECONNECT_MIN_MS,
                 reconnect_time_max=RECONNECT_MAX_MS,
+                tls_config=self._dialer_tls,
             )
-            socket.dial(f"tcp://{address.host}:{address.port}", block=False)
+            socket.dial(f"{self._scheme}://{address.host}:{address.port}", block=False)
             self._sockets[peer_id] = socket
         return socket
 
--- a/savoryarch/peers/tests/test_transport.py
+++ b/savoryarch/peers/tests/test_transport.py
@@ -20,7 +20,7 @@
 
 
 class Peer:
-    def __init__(self, reactor, instance_id, incarnation=1):
+    def __init__(self, reactor, instance_id, incarnation=1, tls=None):
         self.got, self.sent, self.received, self.dropped = [], [], [], []
         self.instance_id = instance_id
         self.transport = PeerTransport(
@@ -33,6 +33,7 @@
             msgspec.msgpack.encode,
             decode,
             PeerCounts(self.sent.append, self.received.append, self.dropped.append),
+            tls,
         )
 
     def know(self, other):
