Wait for the connections in the peer benchmark

Cause: counting open files as the sign that connections stand never ended, because files of an earlier reactor were closed meanwhile. Change: wait for the pipes of the sockets.

--- a/benchmarks/bench_peers.py
+++ b/benchmarks/bench_peers.py
@@ -101,7 +101,7 @@
                 transport.send(f"peer-{number}", PING)
                 reactor.iterate(0)
             opened = count
-            while read_status()[2] - before[2] < count:
+            while not all(socket.pipes for socket in transport._sockets.values()):
                 reactor.iterate(CONNECT_WAIT_S)
             used = (now - then for now, then in zip(read_status(), before, strict=True))
             rows.append((count, *used))
