Send no hedges while requests wait for admission

Cause: at twice the capacity hedges made 2.7% extra load, beyond the goal of 2%. Change: a hedge is not sent while anything waits for admission.

--- a/savoryarch/search/_attempt_chart.py
+++ b/savoryarch/search/_attempt_chart.py
@@ -111,7 +111,8 @@
     hedging = turn.state.settings.hedging
     if isinstance(hedging, NoHedging) or not _is_newest_overdue(turn, shard):
         return turn
-    target_id = None if service in turn.state.waiting else choose(turn, service, shard.tried)
+    is_busy = service in turn.state.waiting or bool(turn.state.admission.waiting)
+    target_id = None if is_busy else choose(turn, service, shard.tried)
     if target_id is None:
         return _check_again(turn, service, turn.state.settings.room_wait_ms)
     paid = turn if isinstance(hedging, FixedDelayHedging) else pay(turn)
