Try slow targets again with copies instead of with callers' requests

Change: while a target is suspect, a copy of a sub-request goes there once per trial_interval_ms, paid by the extra-load budget, and its reply is used for its latency only.

--- a/savoryarch/search/_query_chart.py
+++ b/savoryarch/search/_query_chart.py
@@ -19,18 +19,22 @@
     SetTimer,
 )
 from savoryarch.search._budget import Budget, earn
+from savoryarch.search._guard import may_run_at
 from savoryarch.search._sending import (
     SLOW_TIMER,
     cancel_attempt,
     choose,
+    count_retry,
+    pay,
     pinned_snapshot,
     send_attempt,
+    send_trial,
     wait_for_room,
 )
 from savoryarch.search._snapshots import shards_of
 from savoryarch.search._state import Purpose, Shard
 from savoryarch.search._turn import Turn, emit
-from savoryarch.targets import can_serve
+from savoryarch.targets import can_serve, trial_target
 from savoryarch.utils import in_order
 
 DUE_TIMER = "search/due/"
@@ -130,7 +134,17 @@
     target_id = choose(turn, service, frozenset())
     if target_id is None:
         return wait_for_room(turn, service, shard)
-    return send_attempt(turn, service, shard, target_id, Purpose.FIRST)
+    turn = send_attempt(turn, service, shard, target_id, Purpose.FIRST)
+    trial_id = trial_target(turn.targets, service, turn.query.snapshot, turn.now_ms)
+    return turn if trial_id is None else _try_again(turn, service, trial_id)
+
+
+def _try_again(turn: Turn, service: str, target_id: str) -> Turn:
+    """Send a copy of a sub-request to a slow target, only to see how long it takes."""
+    if turn.state.admission.waiting or not may_run_at(turn, service, target_id):
+        return turn
+    paid = pay(turn)
+    return send_trial(count_retry(paid, "trial"), service, target_id) if paid else turn
 
 
 def _timers(turn: Turn) -> tuple[object, ...]:
--- a/savoryarch/search/_sending.py
+++ b/savoryarch/search/_sending.py
@@ -48,6 +48,26 @@
 
 def send_attempt(turn: Turn, service: str, shard: Shard, target_id: str, purpose: Purpose) -> Turn:
     """Send one attempt for a pending shard."""
+    attempt_id = f"search/{turn.state.sent}"
+    check_at_ms = turn.now_ms + slow_after_ms(turn, service, target_id)
+    if shard.attempt_ids:
+        check_at_ms = min(check_at_ms, shard.check_at_ms)
+    shard = replace(
+        shard,
+        attempt_ids=(*shard.attempt_ids, attempt_id),
+        tried=shard.tried | {target_id},
+        check_at_ms=check_at_ms,
+    )
+    turn = _send(turn, service, target_id, purpose, "in_flight")
+    return arm_check(put_shard(turn, service, shard), check_at_ms)
+
+
+def send_trial(turn: Turn, service: str, target_id: str) -> Turn:
+    """Send a copy of an attempt whose reply is used for nothing but its latency."""
+    return _send(turn, service, target_id, Purpose.TRIAL, "abandoned")
+
+
+def _send(turn: Turn, service: str, target_id: str, purpose: Purpose, life: str) -> Turn:
     query, state, now_ms = turn.query, turn.state, turn.now_ms
     snapshot = pinned_snapshot(turn)
     attempt_id = f"search/{state.sent}"
@@ -56,43 +76,30 @@
         request_id=query.request_id,
         service=service,
         target_id=target_id,
-        life="in_flight",
+        life=life,
         purpose=purpose,
         snapshot=snapshot,
         begun_at_ms=now_ms,
     )
-    check_at_ms = now_ms + slow_after_ms(turn, service, target_id)
-    if shard.attempt_ids:
-        check_at_ms = min(check_at_ms, shard.check_at_ms)
-    shard = replace(
-        shard,
-        attempt_ids=(*shard.attempt_ids, attempt_id),
-        tried=shard.tried | {target_id},
-        check_at_ms=check_at_ms,
-    )
     send = SendAttempt(
         attempt_id,
         target_id,
         query.deadline_at_ms - state.settings.answer_margin_ms,
         PartRequest(query.search.name, query.asked.query, snapshot),
     )
-    turn = replace(
+    state = replace(
+        state,
+        sent=state.sent + 1,
+        attempts=state.attempts.set(attempt_id, attempt),
+        quarantine=note_sent(turn, attempt),
+    )
+    return replace(
         turn,
-        state=replace(
-            state,
-            sent=state.sent + 1,
-            attempts=state.attempts.set(attempt_id, attempt),
-            quarantine=note_sent(turn, attempt),
-        ),
+        state=state,
         targets=begin_attempt(turn.targets, target_id, now_ms),
-        query=replace(
-            query,
-            pending=query.pending.set(service, shard),
-            may_have_run=query.may_have_run + 1,
-        ),
+        query=replace(query, may_have_run=query.may_have_run + 1),
         effects=(*turn.effects, send),
     )
-    return arm_check(turn, check_at_ms)
 
 
 def arm_check(turn: Turn, at_ms: float) -> Turn:
--- a/savoryarch/search/_state.py
+++ b/savoryarch/search/_state.py
@@ -35,6 +35,7 @@
     FIRST = "first"
     HEDGE = "hedge"
     RETRY = "retry"
+    TRIAL = "trial"  # beside the first, to learn whether a slow target has recovered
     RESEND = "resend"  # of an attempt that a target shed, so that nothing has run
 
 
--- a/savoryarch/search/tests/driver.py
+++ b/savoryarch/search/tests/driver.py
@@ -80,10 +80,11 @@
         targets=None,
         admission=None,
         quarantine=None,
+        probed=lambda target_id: (OLD, NEW),
     ):
         self.now_ms = 0.0
         self.script = script or (lambda send, now_ms: returned(send))
-        self.probe_snapshots = lambda target_id: (OLD, NEW)
+        self.probe_snapshots = probed
         self.search = make_search_state(
             search or SearchSettings(),
             admission or AdmissionSettings(),
@@ -92,6 +93,7 @@
         self.targets = make_targets_state(targets or TargetsSettings("zone-a"))
         self.answers: dict[str, list] = {}
         self.answered_at_ms: dict[str, float] = {}
+        self.asked_at_ms: dict[str, float] = {}
         self.sends: list[SendAttempt] = []
         self.cancelled: list[str] = []
         self.replies: dict[str, object] = {}
@@ -117,6 +119,7 @@
         self._perform(decided.effects)
 
     def ask(self, request_id="r1", query=b"{}", **fields) -> None:
+        self.asked_at_ms[request_id] = self.now_ms
         self.offer(SearchAsked(request_id, "catalogue", "counter", query, **fields))
 
     def run(self, until_ms: float = 10_000.0) -> None:
--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -1,7 +1,7 @@
 """Targets: whether they are live, what they serve, and how much of each may be used."""
 
 from savoryarch.targets._attempts import begin_attempt, deny_snapshot, end_attempt, note_overdue
-from savoryarch.targets._choose import can_serve, choose_target, has_room
+from savoryarch.targets._choose import can_serve, choose_target, has_room, trial_target
 from savoryarch.targets._decide import decide_targets
 from savoryarch.targets._limits import connection_share, in_flight_limit, is_suspect
 from savoryarch.targets._settings import (
@@ -39,4 +39,5 @@
     "is_suspect",
     "make_targets_state",
     "note_overdue",
+    "trial_target",
 ]
--- a/savoryarch/targets/_attempts.py
+++ b/savoryarch/targets/_attempts.py
@@ -20,7 +20,7 @@
 )
 from savoryarch.targets._latency import add_latency, add_to_recent
 from savoryarch.targets._life import apply_sign, put_record
-from savoryarch.targets._limits import lowered_limit, raised_limit
+from savoryarch.targets._limits import is_suspect, lowered_limit, raised_limit
 from savoryarch.targets._state import TargetRecord, TargetsState, TargetUse
 
 _CERTAIN_RATIO = 1.4  # of the tail; so late is an attempt at a healthy target very rarely
@@ -132,7 +132,7 @@
         others=old.others,
         others_at_ms=old.others_at_ms,
         overdue=0 if latency_ms <= service.histogram.tail_ms else old.overdue,
-        overdue_at_ms=old.overdue_at_ms,
+        overdue_at_ms=now_ms if is_suspect(old) else old.overdue_at_ms,
     )
     service = replace(service, histogram=add_latency(service.histogram, latency_ms))
     return replace(
--- a/savoryarch/targets/_choose.py
+++ b/savoryarch/targets/_choose.py
@@ -58,6 +58,28 @@
     return chosen
 
 
+def trial_target(
+    state: TargetsState, service: str, snapshot: SnapshotId | None, now_ms: float
+) -> str | None:
+    """Return a slow target that should be tried again now, if there is one.
+
+    An ordinary request that tries it would be slow as well; a copy of one that went elsewhere
+    costs a little extra load instead.
+    """
+    declared = state.services.get(service)
+    for target_id in declared.target_ids if declared else ():
+        use = state.uses[target_id]
+        if (
+            not is_suspect(use)
+            or use.in_flight
+            or not _is_usable(state.records[target_id], snapshot)
+        ):
+            continue
+        if now_ms - use.overdue_at_ms >= state.settings.trial_interval_ms:
+            return target_id
+    return None
+
+
 def has_room(state: TargetsState, service: str, now_ms: float) -> bool:
     """Return whether any target of a service has room for one more attempt."""
     declared = state.services.get(service)
--- a/savoryarch/targets/_settings.py
+++ b/savoryarch/targets/_settings.py
@@ -58,6 +58,9 @@
     slow_half_life_ms: float = setting(
         Number(10.0, 600_000.0), "Time after which a slow target is half forgiven.", 1000.0
     )
+    trial_interval_ms: float = setting(
+        Number(10.0, 600_000.0), "Time between trials of a slow target.", 500.0
+    )
     zone_distance_ms: float = setting(
         Number(0.0, 1000.0), "Round trip to another availability zone, beyond the own.", 1.0
     )
