Count an attempt as overdue only beyond the tail of its service

Cause: test_extra_load_is_seen[search1-0.9] found an extra load of 1.14 where both replicas are asked at once: each attempt counted as overdue at its hedge, so that every target became suspect and got trials. Change: an attempt that was hedged earlier than the tail says nothing of its target.

--- a/savoryarch/targets/_attempts.py
+++ b/savoryarch/targets/_attempts.py
@@ -52,6 +52,9 @@
     use = state.uses.get(target_id)
     if use is None:
         return state
+    service = state.services[state.records[target_id].target.service]
+    if waited_ms < service.histogram.tail_ms:
+        return state  # hedged early, which is no sign of slowness
     use = replace(
         use,
         recent=add_to_recent(use.recent, waited_ms, now_ms, censored=True),
