--- a/savoryarch/targets/_attempts.py
+++ b/savoryarch/targets/_attempts.py
@@ -21,8 +21,9 @@
 from savoryarch.targets._latency import add_latency, add_to_recent
 from savoryarch.targets._life import apply_sign, put_record
 from savoryarch.targets._limits import is_suspect, lowered_limit, raised_limit
-from savoryarch.targets._state import TargetRecord, TargetsState, TargetUse
+from savoryarch.targets._state import ServiceRecord, TargetRecord, TargetsState, TargetUse
 
+_LEAST_SAMPLES = 20
 _CERTAIN_RATIO = 1.4  # of the tail; so late is an attempt at a healthy target very rarely
 
 
@@ -53,7 +54,7 @@
     if use is None:
         return state
     service = state.services[state.records[target_id].target.service]
-    if waited_ms < service.histogram.tail_ms:
+    if waited_ms < _slow_beyond_ms(service):
         return state  # hedged early, which is no sign of slowness
     use = replace(
         use,
@@ -64,6 +65,12 @@
     return replace(state, uses=state.uses.set(target_id, use))
 
 
+def _slow_beyond_ms(service: ServiceRecord) -> float:
+    """Return the latency that few attempts pass; infinite while too little is known."""
+    known = service.histogram
+    return known.tail_ms if known.samples >= _LEAST_SAMPLES else float("inf")
+
+
 def deny_snapshot(state: TargetsState, target_id: str, snapshot: SnapshotId) -> TargetsState:
     """Learn from a reply that the target does not serve a snapshot, whatever its health says."""
     record = state.records.get(target_id)
@@ -152,7 +159,7 @@
     use = _given_back(state, record)
     service = state.services[record.target.service]
     use = replace(use, recent=add_to_recent(use.recent, latency_ms, now_ms, censored=True))
-    if latency_ms > _CERTAIN_RATIO * service.histogram.tail_ms:
+    if latency_ms > _CERTAIN_RATIO * _slow_beyond_ms(service):
         use = replace(use, overdue=use.overdue + 1, overdue_at_ms=now_ms)
     state = _put_use(state, record, use)
     histogram = add_latency(service.histogram, latency_ms, censored=True)
