Adapt the admission limit by sheds and by twice the first guess

Cause: at twice the capacity the limit fell to one query per instance (any shed above half counted as overload) or was held up by a first latency that was taken under load; urgent requests waited for the limit. Change: windows with 0.7 sheds per sub-request or a median above 1.5 of an idle pool lower the limit; it doubles until the first overload; an idle pool is never taken for slower than one at work; requests wait at most half of the time left; urgent requests may use the limit once more.

--- a/savoryarch/admission/_decide.py
+++ b/savoryarch/admission/_decide.py
@@ -69,19 +69,20 @@
     """
     if ticket.latest_start_at_ms < now_ms:
         return Offered(state, TurnedAway(RefusalReason.DEADLINE_TOO_SHORT, None))
-    pool = state.pools.get(ticket.pool) or Pool(make_limit(state.settings))
+    pool = state.pools.get(ticket.pool) or Pool(make_limit(state.settings, ticket.cost))
     rank = rank_of(ticket)
     room = _has_instance_room(state) and has_room(pool, rank, state.settings)
     if room and not has_backlog(pool, rank):
         return Offered(_start(state, pool, ticket, now_ms, waited=False), Admitted())
     wait_ms = expected_wait_ms(pool, ticket, state.settings)
     backlog = pool.classes[rank].callers.get(ticket.caller, Backlog())
+    latest_at_ms = now_ms + state.settings.max_wait_share * (ticket.latest_start_at_ms - now_ms)
     if (
-        now_ms + wait_ms > ticket.latest_start_at_ms
+        now_ms + wait_ms > latest_at_ms
         or len(state.waiting) >= state.settings.max_waiting
         or backlog.count >= state.settings.max_waiting_per_caller
     ):
-        late_ms = now_ms + wait_ms - ticket.latest_start_at_ms
+        late_ms = now_ms + wait_ms - latest_at_ms
         retry_after_ms = max(late_ms, pool.limit.latency_ms, 1.0)
         return Offered(state, TurnedAway(RefusalReason.OVERLOADED, retry_after_ms))
     number = state.numbered
--- a/savoryarch/admission/_limit.py
+++ b/savoryarch/admission/_limit.py
@@ -7,6 +7,8 @@
 _IDLE_SHARE = 0.5
 _IDLE_GAIN = 0.05
 _LATENCY_GAIN = 0.05
+_INITIAL_REQUESTS = 2
+_PROBE_FACTOR = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +29,8 @@
         Sub-requests of this window, and those of them that were shed.
     was_full : bool
         Whether the limit held anything back in this window.
+    is_probing : bool
+        Whether no overload was met yet, so that the limit doubles instead of growing slowly.
     """
 
     value: float
@@ -37,6 +41,7 @@
     asked: float = 0.0
     sheds: float = 0.0
     was_full: bool = False
+    is_probing: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,11 +69,12 @@
     is_idle: bool
 
 
-def make_limit(settings: AdmissionSettings) -> Limit:
-    """Make the limit of a new pool."""
+def make_limit(settings: AdmissionSettings, cost: float) -> Limit:
+    """Make the limit of a new pool, whose requests make about `cost` sub-requests each."""
     match settings.policy:
         case AdaptiveLimit():
-            return Limit(min(max(settings.initial_limit, settings.min_limit), settings.max_limit))
+            initial = max(settings.initial_limit, _INITIAL_REQUESTS * cost, settings.min_limit)
+            return Limit(min(initial, settings.max_limit))
         case FixedLimit(limit=limit):
             return Limit(limit)
         case NoLimit():
@@ -89,13 +95,12 @@
     )
     if limit.ended < settings.window:
         return limit
-    value = limit.value
     match settings.policy:
         case AdaptiveLimit():
-            value = _adapt(limit, settings)
+            limit = _adapt(limit, settings)
         case FixedLimit() | NoLimit():
             pass
-    return Limit(value, idle_ms=limit.idle_ms, latency_ms=limit.latency_ms)
+    return replace(limit, ended=0, slow=0, asked=0.0, sheds=0.0, was_full=False)
 
 
 def is_idle(limit: Limit, in_flight: float, settings: AdmissionSettings) -> bool:
@@ -121,14 +126,17 @@
         # Steps of constant size follow the median, which stragglers don't move.
         step_ms = _IDLE_GAIN * idle_ms
         idle_ms += step_ms if sample.latency_ms > idle_ms else -step_ms
+    # A pool at work is never faster than an idle one, whatever the first samples said.
+    idle_ms = min(idle_ms, latency_ms)
     return replace(limit, idle_ms=idle_ms, latency_ms=latency_ms)
 
 
-def _adapt(limit: Limit, settings: AdmissionSettings) -> float:
+def _adapt(limit: Limit, settings: AdmissionSettings) -> Limit:
     overloaded = 2 * limit.slow > limit.ended or limit.sheds > settings.shed_share * limit.asked
     if overloaded:
-        return max(settings.min_limit, limit.value * settings.decrease_factor)
-    if limit.was_full:
-        grown = limit.value * (1.0 + settings.increase_share)
-        return min(settings.max_limit, grown)
-    return limit.value
+        value = max(settings.min_limit, limit.value * settings.decrease_factor)
+        return replace(limit, value=value, is_probing=False)
+    if not limit.was_full:
+        return limit
+    factor = _PROBE_FACTOR if limit.is_probing else 1.0 + settings.increase_share
+    return replace(limit, value=min(settings.max_limit, limit.value * factor))
--- a/savoryarch/admission/_settings.py
+++ b/savoryarch/admission/_settings.py
@@ -42,7 +42,7 @@
     """
 
     initial_limit: float = setting(
-        Number(1, 100_000), "Sub-requests in flight per pool before anything is learned.", 64.0
+        Number(1, 100_000), "Sub-requests in flight per pool before anything is learned.", 20.0
     )
     min_limit: float = setting(
         Number(1, 100_000), "Sub-requests in flight per pool that are always allowed.", 10.0
@@ -54,7 +54,7 @@
         Number(1, 1_000_000), "Sub-requests in flight of all pools together.", 20_000.0
     )
     latency_tolerance: float = setting(
-        Number(1.01, 100), "Median latency, relative to an idle pool, that holds the limit.", 2.0
+        Number(1.01, 100), "Median latency, relative to an idle pool, that holds the limit.", 1.5
     )
     decrease_factor: float = setting(
         Number(0.1, 0.99), "Factor on the limit when the pool is overloaded.", 0.9
@@ -63,13 +63,13 @@
         Number(0.001, 1), "Growth of the limit per window without overload.", 0.1
     )
     shed_share: float = setting(
-        Number(0, 1), "Share of shed sub-requests that counts as overload.", 0.5
+        Number(0, 100), "Share of shed sub-requests that counts as overload.", 0.7
     )
     window: int = setting(
         Number(1, 10_000, whole=True), "Requests after which the limit is adapted.", 20
     )
     urgent_headroom: float = setting(
-        Number(0, 10), "Share of the limit that urgent requests may use on top of it.", 0.25
+        Number(0, 10), "Share of the limit that urgent requests may use on top of it.", 1.0
     )
     normal_floor: float = setting(
         Number(0, 0.5), "Share of the work that normal requests get beside urgent ones.", 0.2
@@ -77,6 +77,9 @@
     batch_floor: float = setting(
         Number(0, 0.5), "Share of the work that batch requests get beside the others.", 0.05
     )
+    max_wait_share: float = setting(
+        Number(0.01, 1), "Share of the time left that a request may wait for admission.", 0.5
+    )
     max_waiting: int = setting(
         Number(1, 1_000_000, whole=True), "Requests that may wait in all.", 20_000
     )
--- a/savoryarch/admission/tests/test_admission.py
+++ b/savoryarch/admission/tests/test_admission.py
@@ -26,7 +26,7 @@
 
 
 def make_state(limit=1.0, **changes):
-    changes = {"urgent_headroom": 0.0, **changes}
+    changes = {"urgent_headroom": 0.0, "max_wait_share": 1.0, **changes}
     return make_admission_state(AdmissionSettings(policy=FixedLimit(limit), **changes))
 
 
