--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -8,9 +8,11 @@
 from savoryarch.configuration import ConfigurationSettings
 from savoryarch.exceptions import FindingsError
 from savoryarch.membership import MembershipSettings
+from savoryarch.notices import NoticesSettings
 from savoryarch.orders import OrdersSettings
 from savoryarch.quarantine import QuarantineSettings
 from savoryarch.search import SearchSettings
+from savoryarch.settings._access import check_access
 from savoryarch.settings._sections import (
     CallersSettings,
     InstanceSettings,
@@ -53,6 +55,7 @@
     membership: MembershipSettings
     shutdown: ShutdownSettings
     configuration: ConfigurationSettings
+    notices: NoticesSettings
 
 
 SECTIONS: dict[str, type] = {name: kind for name, kind in get_type_hints(Settings).items()}
@@ -101,6 +104,9 @@
         section = document.get(name) or IniSection(name, Place(source, 0, name), ())
         values[name], more = read_section(_inherit(section, kind, document), kind)
         findings += more
+    operators, peers = values.get("operators"), values.get("peers")
+    if operators and peers:
+        findings += check_access(operators, peers, document)
     return (None if findings else Settings(**values)), tuple(findings)
 
 
