Give the bench's baseline no admission, and slow spells more time

Cause: searches pass admission now, so the plain baseline has to be without it; a 10 s run met about one slow spell. Change: the baseline admits everything; the peak rate is the best of both over a ladder of loads; sticky experiments run three times as long.

--- a/savoryarch_bench/_experiments.py
+++ b/savoryarch_bench/_experiments.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from savoryarch.admission import AdmissionSettings, NoLimit
 from savoryarch.model import Priority
 from savoryarch.search import FixedDelayHedging, FixedRetries, NoHedging, SearchSettings
 from savoryarch_bench._measure import (
@@ -38,6 +39,7 @@
 _URGENT_SHARE = 0.05
 _WARM_MS = 2000.0
 _EXTRA_BOUND = 0.05
+_STICKY_FACTOR = 3  # slow spells are few, so that a longer run is needed to meet some
 _PLAIN = SearchSettings(hedging=NoHedging(), retries=FixedRetries(2))
 
 
@@ -83,6 +85,12 @@
     return quantile_ms(between(run, _WARM_MS, run.scenario.duration_ms), 0.99)
 
 
+def _as_plain(scenario: Scenario) -> Scenario:
+    """Return the baseline: no hedging, fixed retries, round robin, no admission."""
+    admission = AdmissionSettings(policy=NoLimit())
+    return replace(scenario, search=_PLAIN, admission=admission, plain_targets=True)
+
+
 def independent_stragglers(shape: Shape) -> Experiment:
     """Make one reply in a hundred take 20 times as long, whichever target gives it."""
 
@@ -91,7 +99,7 @@
         name = f"{shape.services} shards, independent stragglers"
         scenario = _calm(shape, spec, seed, seconds * MS_PER_S, name)
         own = run_scenario(scenario)
-        plain = run_scenario(replace(scenario, search=_PLAIN, plain_targets=True))
+        plain = run_scenario(_as_plain(scenario))
         fixed = _best_fixed(scenario, own, plain_targets=(True, False))
         oracle_ms = oracle_p99_ms(shape, spec, seed)
         shards = f"{shape.services} shards"
@@ -117,9 +125,10 @@
     def measure(seed: int, seconds: float) -> Outcome:
         spec = ServiceTime(sticky_share=0.01)
         name = f"{shape.services} shards, sticky stragglers"
-        scenario = _calm(shape, spec, seed, seconds * MS_PER_S, name)
+        duration_ms = _STICKY_FACTOR * seconds * MS_PER_S
+        scenario = _calm(shape, spec, seed, duration_ms, name)
         own = run_scenario(scenario)
-        plain = run_scenario(replace(scenario, search=_PLAIN, plain_targets=True))
+        plain = run_scenario(_as_plain(scenario))
         fixed = _best_fixed(scenario, own, plain_targets=(True,))
         shards = f"{shape.services} shards, sticky"
         better = Measured(
@@ -167,7 +176,7 @@
     scenario = _calm(BALCAO, ServiceTime(), seed, end_ms, "one replica frozen")
     scenario = replace(scenario, faults=faults)
     own = run_scenario(scenario)
-    plain = run_scenario(replace(scenario, search=_PLAIN, plain_targets=True))
+    plain = run_scenario(_as_plain(scenario))
     measured = []
     for run in (own, plain):
         calm_ms = quantile_ms(between(run, _WARM_MS, begun_ms), 0.99)
@@ -198,7 +207,7 @@
         "twice the capacity", seed, end_ms + 10_000.0, BALCAO, (urgent, calm, burst), spec
     )
     own = run_scenario(scenario)
-    plain = run_scenario(replace(scenario, search=_PLAIN, plain_targets=True))
+    plain = run_scenario(_as_plain(scenario))
     peak_per_s = _peak_per_s(scenario, capacity)
     figures = [_overload_figures(run, calm_ms, end_ms, peak_per_s) for run in (own, plain)]
     names = ("useful / peak", "urgent p99 / calm", "extra load", "until calm")
@@ -216,8 +225,9 @@
     rates = []
     for load in (0.7, 0.85, 1.0, 1.15):
         streams = (Stream("counter", load * capacity),)
-        run = run_scenario(replace(scenario, streams=streams, duration_ms=8000.0))
-        rates.append(useful_per_s(run, _WARM_MS, 8000.0))
+        ladder = replace(scenario, streams=streams, duration_ms=8000.0)
+        runs = (run_scenario(ladder), run_scenario(_as_plain(ladder)))
+        rates += [useful_per_s(run, _WARM_MS, 8000.0) for run in runs]
     return max(rates)
 
 
@@ -245,7 +255,7 @@
     greedy = Stream("portal", 3.0 * capacity)
     alone = Scenario("alone", seed, seconds * MS_PER_S, BALCAO, (usual,))
     beside = replace(alone, name="beside a greedy caller", streams=(usual, greedy))
-    plain = run_scenario(replace(beside, search=_PLAIN, plain_targets=True))
+    plain = run_scenario(_as_plain(beside))
     own, calm = run_scenario(beside), run_scenario(alone)
 
     def p99_ms(run: Run) -> float:
--- a/savoryarch_bench/_instance.py
+++ b/savoryarch_bench/_instance.py
@@ -38,7 +38,7 @@
             choice=RoundRobin() if scenario.plain_targets else LeastExpectedLatency(),
         )
         self.targets = make_targets_state(settings)
-        self.search = make_search_state(scenario.search)
+        self.search = make_search_state(scenario.search, scenario.admission)
         self.is_gone = False
         self.timers: dict[str, int] = {}
         self.request_ids: set[str] = set()
--- a/savoryarch_bench/_model.py
+++ b/savoryarch_bench/_model.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from savoryarch.admission import AdmissionSettings
 from savoryarch.model import Preference, Priority
 from savoryarch.search import SearchSettings
 
@@ -168,6 +169,7 @@
     service_time: ServiceTime = ServiceTime()
     faults: tuple[Fault, ...] = ()
     search: SearchSettings = SearchSettings()
+    admission: AdmissionSettings = AdmissionSettings()
     plain_targets: bool = False
     instances: int = 4
     extra_load_share: float = 0.05
