Measure the cost of admission and quarantine per step

Cause: both are on the path of every query, so their cost must not grow with what waits or is remembered. Change: benchmarks/bench_admission.py and bench_quarantine.py.

--- /dev/null
+++ b/benchmarks/bench_admission.py
@@ -0,0 +1,86 @@
+"""Measures the cost of an admission step with 10, 1,000 and 10,000 requests waiting.
+
+Run with ``python -m benchmarks.bench_admission``. A step offers one request, ends a running one
+and takes the next.
+"""
+
+import json
+from time import process_time_ns
+
+from savoryarch.admission import (
+    AdmissionSettings,
+    AdmissionState,
+    FixedLimit,
+    Ticket,
+    finish,
+    make_admission_state,
+    offer,
+    take,
+)
+from savoryarch.model import Priority
+
+WAITING = (10, 1000, 10_000)
+STEPS = 2000
+CALLERS = 20
+MAX_GROWTH = 3.0  # from 10 to 10,000 waiting; the logarithm grows 4 times
+PRIORITIES = (Priority.URGENT, Priority.NORMAL, Priority.BATCH)
+
+
+def main() -> None:
+    costs_us = {waiting: step_cost_us(waiting) for waiting in WAITING}
+    for waiting, cost_us in costs_us.items():
+        print(f"{waiting:6d} waiting: {cost_us:6.1f} us per step")
+    growth = costs_us[WAITING[-1]] / costs_us[WAITING[0]]
+    goals = [
+        {
+            "name": "admission step at 10,000 / at 10 waiting",
+            "measured": growth,
+            "bound": MAX_GROWTH,
+            "unit": "ratio",
+            "holds": growth <= MAX_GROWTH,
+            "baseline": None,
+        }
+    ]
+    print(json.dumps({"goals": goals, "us_per_step": costs_us}))
+
+
+def step_cost_us(waiting: int) -> float:
+    state = fill(waiting)
+    running = next(iter(state.running))
+    begun_ns = process_time_ns()
+    for number in range(STEPS):
+        state = offer(state, make_ticket(waiting + number), 0.0).state
+        state = finish(state, running, 0.0)
+        taken = take(state, 0.0)
+        state, running = taken.state, taken.admitted[0].request_id
+    return (process_time_ns() - begun_ns) / 1000.0 / STEPS
+
+
+def fill(waiting: int) -> AdmissionState:
+    settings = AdmissionSettings(
+        policy=FixedLimit(1.0),
+        urgent_headroom=0.0,
+        max_waiting=1_000_000,
+        max_waiting_per_caller=1_000_000,
+    )
+    state = make_admission_state(settings)
+    for number in range(waiting + 1):
+        state = offer(state, make_ticket(-number), 0.0).state
+    return state
+
+
+def make_ticket(number: int) -> Ticket:
+    return Ticket(
+        request_id=f"r{number}",
+        pool="balcao",
+        caller=f"caller-{number % CALLERS}",
+        search=f"search-{number % 3}",
+        priority=PRIORITIES[number % 3],
+        deadline_at_ms=1e9 + number % 997,
+        expected_ms=20.0,
+        cost=10.0,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/bench_quarantine.py
@@ -0,0 +1,70 @@
+"""Measures the cost of the quarantine per attempt with 10, 1,000 and 10,000 records.
+
+Run with ``python -m benchmarks.bench_quarantine``. A step judges one attempt, notes its start and
+its end; beside it runs what a search of ten shards costs in fingerprints.
+"""
+
+import json
+from time import process_time_ns
+
+from savoryarch.quarantine import (
+    CrashReported,
+    QuarantineSettings,
+    fingerprint_of,
+    hear_peer,
+    judge_attempt,
+    make_quarantine_state,
+    note_ended,
+    note_started,
+)
+
+RECORDS = (10, 1000, 10_000)
+STEPS = 5000
+MAX_GROWTH = 2.0
+BODY = b'{"query": "' + b"hinge " * 40 + b'"}'
+
+
+def main() -> None:
+    costs_us = {records: step_cost_us(records) for records in RECORDS}
+    for records, cost_us in costs_us.items():
+        print(f"{records:6d} suspects: {cost_us:5.1f} us per attempt")
+    fingerprint_us = fingerprint_cost_us()
+    print(f"fingerprint of {len(BODY)} bytes: {fingerprint_us:.2f} us per query")
+    growth = costs_us[RECORDS[-1]] / costs_us[RECORDS[0]]
+    goals = [
+        {
+            "name": "quarantine per attempt at 10,000 / at 10 records",
+            "measured": growth,
+            "bound": MAX_GROWTH,
+            "unit": "ratio",
+            "holds": growth <= MAX_GROWTH,
+            "baseline": None,
+        }
+    ]
+    print(json.dumps({"goals": goals, "us_per_attempt": costs_us}))
+
+
+def step_cost_us(records: int) -> float:
+    state = make_quarantine_state(QuarantineSettings(max_records=100_000))
+    for number in range(records):
+        report = CrashReported("balcao-01", f"t{number}", (f"{number:016x}",))
+        state = hear_peer(state, report, 0.0).state
+    fingerprint = fingerprint_of("balcao", BODY)
+    begun_ns = process_time_ns()
+    for number in range(STEPS):
+        target_id, attempt_id = f"t{number % 30}", f"search/{number}"
+        judge_attempt(state, fingerprint, "balcao-01", target_id, 1.0)
+        state = note_started(state, attempt_id, "balcao-01", target_id, fingerprint)
+        state = note_ended(state, attempt_id, target_id, replied=True).state
+    return (process_time_ns() - begun_ns) / 1000.0 / STEPS
+
+
+def fingerprint_cost_us() -> float:
+    begun_ns = process_time_ns()
+    for _ in range(STEPS):
+        fingerprint_of("balcao", BODY)
+    return (process_time_ns() - begun_ns) / 1000.0 / STEPS
+
+
+if __name__ == "__main__":
+    main()
