--- a/savoryarch_bench/__main__.py
+++ b/savoryarch_bench/__main__.py
@@ -21,6 +21,8 @@
     seeds: int = 5,
     only: str = "",
     workers: int = 0,
+    real: bool = False,
+    rate_per_s: float = 15.0,
 ) -> None:
     """Measure the goals of searches under load and faults, beside the plain baselines.
 
@@ -36,7 +38,16 @@
         Names of experiments, separated by commas; all of them if empty.
     workers : int
         Processes at a time; 0 takes half of the processors.
+    real : bool
+        Run calm, stragglers and a frozen replica on real processes instead, with one seed.
+    rate_per_s : float
+        Searches per second of the run on real processes.
     """
+    if real:
+        from savoryarch_bench._real import run_real
+
+        print(run_real(seed, float(seconds), float(rate_per_s)))
+        return
     names = [str(name) for name in (only if isinstance(only, tuple) else str(only).split(","))]
     names = [name for name in names if name] or list(EXPERIMENTS)
     if unknown := [name for name in names if name not in EXPERIMENTS]:
