Let a watch never go back when it resumes at an instance that is behind

Cause: an instance that lags answered a watch with its own, older generation, so that the next watch repeated changes that the operator had seen. Change: a watch resumes at the later of both; a property test with two instances, one of which lags. Measured: without the change the test fails on a repeat, with it 200 histories pass in 1.4 s.

--- a/savoryarch/configuration/_record.py
+++ b/savoryarch/configuration/_record.py
@@ -202,7 +202,8 @@
         if revision > generation
     ]
     return WatchedChanges(
-        record.generation,
+        # An instance that is behind must not send the operator back to what was seen already.
+        max(record.generation, generation),
         tuple(sorted(puts, key=lambda item: (item.revision, resource_key(item.resource).name))),
         tuple(sorted(deletes, key=lambda item: (item.revision, item.key.name))),
     )
--- /dev/null
+++ b/savoryarch/configuration/tests/test_watch.py
@@ -0,0 +1,84 @@
+"""Watches of operators: no change is left out, and none comes twice."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from savoryarch.configuration import (
+    change_declarations,
+    changes_since,
+    commit_declarations,
+    resources_of,
+)
+from savoryarch.model import (
+    Caller,
+    ConfigurationRecord,
+    ConfigurationVersion,
+    DeleteResource,
+    Kind,
+    PutResource,
+    ResourceKey,
+    resource_key,
+)
+
+NAMES = ("a", "b", "c")
+OPERATIONS = st.one_of(
+    st.tuples(st.just("put"), st.sampled_from(NAMES)),
+    st.tuples(st.just("delete"), st.sampled_from(NAMES)),
+    st.tuples(st.just("watch"), st.integers(0, 1)),
+    st.tuples(st.just("follow"), st.just(1)),
+)
+
+
+class Watcher:
+    """An operator's copy, kept up to date by watches alone."""
+
+    def __init__(self):
+        self.since = 0
+        self.held = {}
+        self.seen = set()
+
+    def watch(self, record):
+        watched = changes_since(record, self.since)
+        for item in watched.puts:
+            self.see(resource_key(item.resource), item.revision)
+            self.held[item.resource.name] = item.resource
+        for item in watched.deletes:
+            self.see(item.key, item.revision)
+            self.held.pop(item.key.name, None)
+        assert watched.generation >= self.since
+        self.since = watched.generation
+
+    def see(self, key, revision):
+        assert (key, revision) not in self.seen
+        self.seen.add((key, revision))
+
+
+def commit(record, change, number):
+    declarations = change_declarations(record.declarations, (change,))
+    if declarations == record.declarations:
+        return record
+    version = ConfigurationVersion(record.generation + 1, f"change-{number}")
+    return commit_declarations(record, declarations, version)
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.lists(OPERATIONS, min_size=5, max_size=40))
+def test_watch_resumes_without_a_gap_or_a_repeat(operations):
+    """The second instance lags; the watcher goes to either of them."""
+    records = [ConfigurationRecord(), ConfigurationRecord()]
+    watcher = Watcher()
+    for number, (name, argument) in enumerate(operations):
+        match name:
+            case "put":
+                change = PutResource(Caller(argument, number + 1.0))
+                records[0] = commit(records[0], change, number)
+            case "delete":
+                change = DeleteResource(ResourceKey(Kind.CALLER, argument))
+                records[0] = commit(records[0], change, number)
+            case "watch":
+                watcher.watch(records[argument])
+            case "follow":
+                records[1] = records[0]
+    watcher.watch(records[0])
+    held = resources_of(records[0].declarations, Kind.CALLER)
+    assert watcher.held == dict(held)
