Announce to few partners that stay the same

Cause: the transport opens a socket with the first message to a peer and closes idle ones after 30 s; announcing to any of 740 peers every 500 ms would keep some 60 sockets in turn. Change: each instance tells 16 partners, chosen by rendezvous over the live peers.

--- a/savoryarch/configuration/_draw.py
+++ b/savoryarch/configuration/_draw.py
@@ -1,6 +1,7 @@
 """Choices that look random but follow from a seed."""
 
 from hashlib import blake2b
+from heapq import nlargest
 
 _MASK = 2**64 - 1
 _GOLDEN = 0x9E3779B97F4A7C15
@@ -29,6 +30,13 @@
     return sum(1 for other in others if _weight(other, subject) > own)
 
 
+def choose_partners(instance_id: str, others: tuple[str, ...], count: int) -> tuple[str, ...]:
+    """Return up to `count` others that stay the same while they are there."""
+    if len(others) <= count:
+        return others
+    return tuple(nlargest(count, others, key=lambda other: _weight(other, instance_id)))
+
+
 def mix_seed(random_state: int, subject: str) -> int:
     """Return a seed that differs between subjects."""
     return random_state ^ _weight(subject, "seed")
--- a/savoryarch/configuration/_settings.py
+++ b/savoryarch/configuration/_settings.py
@@ -22,10 +22,13 @@
         10_000.0,
     )
     announce_interval_ms: float = setting(
-        Number(50, 60_000), "time between announcements to a random peer", 500.0
+        Number(50, 60_000), "time between announcements to one of the partners", 500.0
+    )
+    partners: int = setting(
+        Number(1, 1000, whole=True), "peers that an instance tells of its configuration", 16
     )
     spread_peers: int = setting(
-        Number(1, 64, whole=True), "peers that are told of a new generation at once", 5
+        Number(1, 64, whole=True), "partners that are told of a new generation at once", 5
     )
     acknowledgements: int = setting(
         Number(0, 16, whole=True), "peers that must hold a change before it is accepted", 1
--- a/savoryarch/configuration/_spreading.py
+++ b/savoryarch/configuration/_spreading.py
@@ -4,7 +4,7 @@
 
 from immutables import Map
 
-from savoryarch.configuration._draw import draw_some
+from savoryarch.configuration._draw import choose_partners, draw_some
 from savoryarch.configuration._record import apply_delta, descends, make_delta
 from savoryarch.configuration._state import (
     ConfigurationDecided,
@@ -120,8 +120,8 @@
 
 
 def announce(state: ConfigurationState, now_ms: float) -> ConfigurationDecided:
-    """Tell one random peer what is in force here."""
-    random_state, chosen = draw_some(state.random_state, state.peers, 1)
+    """Tell one random partner what is in force here."""
+    random_state, chosen = draw_some(state.random_state, state.partners, 1)
     message = announcement(state, now_ms)
     effects = tuple(TellPeer(peer, message) for peer in chosen)
     return Decided(replace(state, random_state=random_state), effects)
@@ -141,7 +141,8 @@
     for peer_id, said in state.heard.items():
         if peer_id not in live and now_ms - said.at_ms > FORGET_PEER_MS:
             heard = heard.delete(peer_id)
-    state = replace(state, peers=live, random_state=random_state, heard=heard)
+    partners = choose_partners(state.instance_id, live, state.settings.partners)
+    state = replace(state, peers=live, partners=partners, random_state=random_state, heard=heard)
     message = announcement(state, now_ms)
     return Decided(state, tuple(TellPeer(peer, message) for peer in drawn if peer not in known))
 
@@ -160,7 +161,7 @@
 def _push(
     state: ConfigurationState, before: ConfigurationVersion, source: str, acknowledge: bool
 ) -> ConfigurationDecided:
-    others = tuple(peer for peer in state.peers if peer != source)
+    others = tuple(peer for peer in state.partners if peer != source)
     random_state, chosen = draw_some(state.random_state, others, state.settings.spread_peers)
     state = replace(state, random_state=random_state)
     messages = _messages_since(state, before, acknowledge) if chosen else ()
--- a/savoryarch/configuration/_state.py
+++ b/savoryarch/configuration/_state.py
@@ -176,6 +176,8 @@
         `Unsettled` by change id.
     peers : tuple of str
         Live peers.
+    partners : tuple of str
+        The live peers that this instance tells; few, so that connections are few.
     heard : Map
         `Heard` by instance id.
     incoming : Incoming
@@ -199,6 +201,7 @@
     changes: tuple[PendingChange, ...] = ()
     unsettled: Map[str, Unsettled] = field(default_factory=Map)
     peers: tuple[str, ...] = ()
+    partners: tuple[str, ...] = ()
     heard: Map[str, Heard] = field(default_factory=Map)
     incoming: Incoming = field(default_factory=Incoming)
     split_version: ConfigurationVersion | None = None
