--- a/savoryarch/configuration/tests/guards.py
+++ b/savoryarch/configuration/tests/guards.py
@@ -4,6 +4,7 @@
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, replace
 from importlib import import_module
+from pathlib import Path
 from unittest.mock import patch
 
 from hypothesis import Phase, settings
@@ -12,6 +13,9 @@
 from savoryarch.configuration.tests.test_properties import HISTORIES, SETTINGS, check_history
 from savoryarch.configuration.tests.test_scenarios import test_scenario
 from savoryarch.model import Decided, DeclarationsInForce, Inform, SwapKey
+from savoryarch.replay import replay_file
+
+TRACES = Path(__file__).parents[3] / "traces"
 
 
 @dataclass(frozen=True)
@@ -27,7 +31,7 @@
     replaced : tuple of (str, object)
         ``module.attribute`` within the package, and what takes its place.
     proofs : tuple of str
-        Names of scenarios; ``random`` is the property test.
+        Names of scenarios; ``random`` is the property test, and ``NAME.trace`` a trace.
     """
 
     name: str
@@ -48,7 +52,9 @@
 
 def run_proof(name: str) -> None:
     """Run a proof; raises AssertionError if it fails."""
-    if name == "random":
+    if name.endswith(".trace"):
+        assert replay_file(TRACES / name).differences == ()
+    elif name == "random":
         # Without shrinking: only whether it fails matters here.
         settings(SETTINGS, phases=[Phase.generate])(HISTORIES(check_history))()
     else:
@@ -95,7 +101,7 @@
         "take only what is newer",
         NEVER_REVERTS,
         (("_spreading.take_record", _take_any), ("_following.take_record", _take_any)),
-        (_KEPT,),
+        (_KEPT, "configuration-stays.trace"),
     ),
     Guard(
         "take only what came from the version in force",
@@ -113,19 +119,22 @@
         "swap at the revision that was read",
         NEVER_REVERTS,
         (("_changes.SwapKey", _swap_any),),
-        ("operators race", "random"),
+        ("operators race", "random", "configuration-race.trace"),
     ),
     Guard(
         "settle a lost reply by the history of the record",
         TRUTHFUL,
         (("_evaluate.find_change", _never),),
-        ("the reply to the write is lost",),
+        ("the reply to the write is lost", "configuration-lost-reply.trace"),
     ),
     Guard(
         "accept once a peer holds the change",
         IN_FORCE,
         (("_changes.check_holders", _accept_at_once),),
-        ("store out and the accepting instance gone right after acceptance",),
+        (
+            "store out and the accepting instance gone right after acceptance",
+            "configuration-held.trace",
+        ),
     ),
     Guard(
         "push a new configuration to peers",
