--- a/benchmarks/bench_admission.py
+++ b/benchmarks/bench_admission.py
@@ -41,7 +41,8 @@
             "baseline": None,
         }
     ]
-    print(json.dumps({"goals": goals, "us_per_step": costs_us}))
+    slopes = {"admission_us": round(max(costs_us.values()), 1)}
+    print(json.dumps({"goals": goals, "us_per_step": costs_us, "slopes": slopes}))
 
 
 def step_cost_us(waiting: int) -> float:
--- /dev/null
+++ b/benchmarks/bench_batch.py
@@ -0,0 +1,64 @@
+"""CPU per sub-answer when many share one frame, and per counter: what batching brings it to."""
+
+import time
+from statistics import median
+
+from msgspec import Raw, Struct, json
+
+from savoryarch.entry import Metrics
+
+BATCH = 64
+ROUNDS = 7
+FRAMES = 200
+COUNTS = 20_000
+BOUND_US = 5.0
+
+
+class SubAnswer(Struct, array_like=True):
+    request: int
+    shard: int
+    complete: bool
+    records: Raw
+
+
+def frame_us() -> float:
+    """Return the CPU per sub-answer of encoding and decoding one frame."""
+    records = Raw(b'[{"id": "r1", "price": 12}]')
+    answers = [SubAnswer(number, number % 660, True, records) for number in range(BATCH)]
+    samples = []
+    for _ in range(ROUNDS):
+        started_s = time.process_time()
+        for _ in range(FRAMES):
+            json.decode(json.encode(answers), type=list[SubAnswer])
+        samples.append((time.process_time() - started_s) * 1e6 / FRAMES / BATCH)
+    return median(samples)
+
+
+def count_us() -> float:
+    """Return the CPU of counting one event with a reason."""
+    metrics = Metrics()
+    started_s = time.process_time()
+    for _ in range(COUNTS):
+        metrics.count("bench", "reason")
+    spent_us = (time.process_time() - started_s) * 1e6 / COUNTS
+    metrics.close()
+    return spent_us
+
+
+def main() -> None:
+    batch_us, metric_us = frame_us(), count_us()
+    print(f"{batch_us:.2f} us per sub-answer in frames of {BATCH}, {metric_us:.2f} us per count")
+    goal = {
+        "name": "sub-answer in a frame of 64",
+        "measured": round(batch_us, 2),
+        "bound": BOUND_US,
+        "unit": "us",
+        "holds": batch_us <= BOUND_US,
+        "baseline": None,
+    }
+    slopes = {"batch_us": round(batch_us, 2), "metric_us": round(metric_us, 2)}
+    print(json.encode({"goals": [goal], "slopes": slopes}).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/bench_claims.py
+++ b/benchmarks/bench_claims.py
@@ -155,7 +155,13 @@
             row = measure(rate_per_s, relays, seconds, seed)
             rows[rate_per_s, relays] = row
             show(row)
-    print(json.dumps({"goals": make_goals(rows)}))
+    fastest = rows[RATES_PER_S[-1], True]
+    slopes = {
+        "claim_us": round(fastest.decision_us),
+        "claim_messages": round(fastest.peer_messages_per_s / fastest.rate_per_s, 2),
+        "claim_writes_per_s": fastest.busiest_writes_per_s,
+    }
+    print(json.dumps({"goals": make_goals(rows), "slopes": slopes}))
 
 
 def make_goals(rows: dict[tuple[int, bool], Measured]) -> list[dict[str, object]]:
--- a/benchmarks/bench_configuration.py
+++ b/benchmarks/bench_configuration.py
@@ -338,7 +338,16 @@
         ),
         goal("value of 5,700 targets", cost.value_bytes, VALUE_BOUND_BYTES, "B", None),
     ]
-    print(json.encode({"goals": goals}).decode())
+    last = rows[-1]
+    slopes = {
+        "configuration_bytes_per_s": round(last.idle_bytes_per_s, 1),
+        "configuration_change_bytes": round(last.change_bytes, 1),
+        "configuration_calls_per_s": round(last.store_calls_per_s, 2),
+        "configuration_p99_ms": round(last.calm.at(0.99), 1),
+        "configuration_apply_ms": round(cost.decode_ms + cost.check_ms, 1),
+        "configuration_value_bytes": cost.value_bytes,
+    }
+    print(json.encode({"goals": goals, "slopes": slopes}).decode())
 
 
 if __name__ == "__main__":
--- a/benchmarks/bench_fanout.py
+++ b/benchmarks/bench_fanout.py
@@ -141,7 +141,7 @@
         "holds": ratio <= BOUND,
         "baseline": 1.0,
     }
-    print(json.dumps({"goals": [goal]}))
+    print(json.dumps({"goals": [goal], "slopes": {"decision_us": round(largest.total_us, 1)}}))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/bench_front.py
@@ -0,0 +1,84 @@
+"""CPU and memory of one entry process: a request from HTTP to its outcome, and at rest."""
+
+import http.client
+import os
+import sys
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from msgspec import json
+
+from savoryarch_standins.harness import ManagedProcess, start_process
+
+REQUESTS = 2_000
+WARM_UP = 200
+BOUND_US = 5_000.0  # a core for 200 requests a second, the accepted rate of a node in two years
+SETTINGS = """[instance]
+instance_id = entry-1
+availability_zone = zone-a
+[callers]
+port = 0
+[operators]
+port = 0
+[peers]
+port = 0
+[shutdown]
+balancer_lag_ms = 0
+"""
+US_PER_S = 1e6
+
+
+def cpu_s(process: ManagedProcess) -> float:
+    """Return the CPU time of a process in seconds, user and system."""
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_kb(process: ManagedProcess) -> int:
+    """Return the resident memory of a process in KB."""
+    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1])
+    return 0
+
+
+def send(process: ManagedProcess, count: int) -> None:
+    """Send searches that are refused, one after the other on one connection."""
+    address = process.address("callers")
+    connection = http.client.HTTPConnection(address.host, address.port)
+    for _ in range(count):
+        connection.request("POST", "/v1/searches/counter", body=b'{"q": "hinge"}')
+        connection.getresponse().read()
+    connection.close()
+
+
+def main() -> int:
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.ini"
+        path.write_text(SETTINGS)
+        arguments = ["-m", "savoryarch", "serve", "--settings", str(path)]
+        process = start_process("entry-1", arguments, Path(folder))
+        try:
+            rest_kb = resident_kb(process)
+            send(process, WARM_UP)
+            before_s = cpu_s(process)
+            send(process, REQUESTS)
+            request_us = (cpu_s(process) - before_s) * US_PER_S / REQUESTS
+        finally:
+            process.stop()
+    print(f"{request_us:.0f} us of CPU per accepted request, {rest_kb} KB resident at rest")
+    goal = {
+        "name": "accepting a request",
+        "measured": round(request_us, 1),
+        "bound": BOUND_US,
+        "unit": "us",
+        "holds": request_us <= BOUND_US,
+        "baseline": None,
+    }
+    slopes = {"front_us": round(request_us, 1), "rest_kb": rest_kb}
+    print(json.encode({"goals": [goal], "slopes": slopes}).decode())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/bench_membership.py
+++ b/benchmarks/bench_membership.py
@@ -190,7 +190,13 @@
         goal("all notice a death", max(worst.values()), 15_000.0, "ms"),
         goal("false deaths at 5% loss", deaths[(64, 0.05, 0)], 0.0, "1/instance/h"),
     ]
-    print(json.dumps({"goals": goals}))
+    slopes = {
+        "membership_bytes_per_s": round(last.bytes_per_s),
+        "membership_messages_per_s": round(last.messages_per_s, 2),
+        "membership_core": round(last.core_share, 6),
+        "detection_ms": max(worst.values()),
+    }
+    print(json.dumps({"goals": goals, "slopes": slopes}))
 
 
 if __name__ == "__main__":
--- a/benchmarks/bench_peers.py
+++ b/benchmarks/bench_peers.py
@@ -146,7 +146,12 @@
         goal("memory of the transport, 10 peers", memory_kb + rows[1][1], CONTROL_MEMORY_KB, "KB"),
         goal("memory per connection", per_connection_kb, 50.0, "KB"),
     ]
-    print(json.dumps({"goals": goals}))
+    slopes = {
+        "peer_us": round(cost_us, 1),
+        "peer_connection_kb": round(per_connection_kb, 1),
+        "transport_kb": memory_kb,
+    }
+    print(json.dumps({"goals": goals, "slopes": slopes}))
 
 
 if __name__ == "__main__":
--- a/benchmarks/bench_target_client.py
+++ b/benchmarks/bench_target_client.py
@@ -148,7 +148,8 @@
         "holds": ratio >= BOUND,
         "baseline": "treq with a connection pool",
     }
-    print(json.encode({"goals": [goal]}).decode())
+    slopes = {"client_us": round(sum(cpu_us["own"]) / SHARDS, 1)}
+    print(json.encode({"goals": [goal], "slopes": slopes}).decode())
 
 
 def main() -> int:
