Write claims again that a restored store has lost, and say when a recorded body is missing

Cause: an instance took over the older value of a restored store, so that a resend after the owner's death could run a second time; a resend could not tell a body that was not kept from an empty one. Change: a bucket that went back in revision gets the claims that are known here; x-body-kept. Conclusion: claims that a running owner knows survive a restore.

--- a/savoryarch/codec/_answers.py
+++ b/savoryarch/codec/_answers.py
@@ -72,10 +72,11 @@
 def encode_route_outcome(request_id: str, outcome: RouteOutcome) -> EncodedReply:
     """Encode the outcome of a route; the target's own status and body are passed on unchanged."""
     match outcome:
-        case RouteDone(status=status, body=body, recorded=recorded):
+        case RouteDone(status=status, body=body, recorded=recorded, body_kept=body_kept):
             headers = (
                 ("x-outcome", "done"),
                 ("x-recorded", "yes" if recorded else "no"),
+                ("x-body-kept", "yes" if body_kept else "no"),
                 ("x-request-id", request_id),
             )
             return EncodedReply(status, body, headers)
--- a/savoryarch/orders/_bucket.py
+++ b/savoryarch/orders/_bucket.py
@@ -36,6 +36,7 @@
     is_free,
     is_settled,
     is_superseded,
+    lost_claims,
     resolve,
 )
 from savoryarch.orders._state import Bucket, Settled, Turn
@@ -184,6 +185,8 @@
 
 
 def _take_value(turn: Turn, bucket: Bucket, value: BucketValue, revision: int) -> Turn:
+    if revision < bucket.revision:
+        turn, bucket = _keep_lost_claims(turn, bucket, value)
     bucket = replace(
         bucket,
         value=value,
@@ -194,6 +197,18 @@
     return step_bucket(turn, bucket, "value_read")
 
 
+def _keep_lost_claims(turn: Turn, bucket: Bucket, restored: BucketValue) -> tuple[Turn, Bucket]:
+    """Write again what a store that went back to an older revision has lost."""
+    lost = lost_claims(bucket.value, restored, turn.state.settings)
+    settled = bucket.settled
+    for claim in lost:
+        if claim.claimant not in settled:
+            settled = settled.set(claim.claimant, Settled(claim))
+    fields = (("bucket", str(bucket.number)), ("lost_claims", str(len(lost))))
+    turn = turn.emit(LogEvent("claim_bucket_restored", fields))
+    return turn, replace(bucket, settled=settled, settle_at_ms=turn.now_ms)
+
+
 def _resolve(turn: Turn, bucket: Bucket, cause: object) -> Turn:
     """Tell the claims that came to something, and see what is left to write."""
     settings = turn.state.settings
--- a/savoryarch/orders/_claims.py
+++ b/savoryarch/orders/_claims.py
@@ -181,6 +181,8 @@
         return put_claim(value, settled) if fits else value
     if held.claimant != settled.claimant or not isinstance(held.state, ClaimOpen):
         return value
+    if held == settled:
+        return value
     return put_claim(value, fit_outcome(value, settled, settings))
 
 
@@ -189,6 +191,27 @@
     return settle_claim(value, settled, settings) is value
 
 
+def lost_claims(
+    known: BucketValue, restored: BucketValue, settings: OrdersSettings
+) -> tuple[Claim, ...]:
+    """Return the claims and outcomes that a restore of the store has lost.
+
+    Parameters
+    ----------
+    known : BucketValue
+        The bucket at a later revision.
+    restored : BucketValue
+        The bucket as the store has it now.
+    settings : OrdersSettings
+        The size limit.
+    """
+    return tuple(
+        claim
+        for claim in known.claims.values()
+        if not (is_free(claim) or is_settled(restored, claim, settings))
+    )
+
+
 def is_superseded(value: BucketValue, settled: Claim) -> bool:
     """Return whether another claim has the key."""
     held = value.claims.get(settled.digest)
--- a/savoryarch/orders/tests/guards.py
+++ b/savoryarch/orders/tests/guards.py
@@ -137,6 +137,10 @@
     return isinstance(held.state, ClaimOpen | ClaimNotRun)
 
 
+def _no_claims(*_):
+    return ()
+
+
 def _unpaced(turn):
     return replace(turn, state=replace(turn.state, write_tokens=1e9))
 
@@ -254,6 +258,12 @@
         (("_claims.is_forgotten", _never),),
         ("a resend after its outcome was dropped",),
     ),
+    Guard(
+        "claims that a restore of the store lost are written again",
+        AT_MOST_ONCE,
+        (("_bucket.lost_claims", _no_claims),),
+        ("the store is restored to before the claim, and then the owner dies",),
+    ),
     Guard(
         "a bucket has a size limit",
         BOUNDED,
--- a/savoryarch/orders/tests/test_scenarios.py
+++ b/savoryarch/orders/tests/test_scenarios.py
@@ -24,6 +24,7 @@
 )
 from savoryarch.orders import OrdersSettings
 from savoryarch.orders.tests.world import Latencies, World, make_declarations
+from savoryarch_standins.store import restore_store
 
 DEADLINE_MS = 500.0
 BODY = b'{"plates": 1}'
@@ -87,6 +88,7 @@
 
 OWNER, NOT_OWNER = "a", "b"  # of the bucket of the key
 RELAYS = OrdersSettings(relays_claims=True)
+RELAYS_ONE = OrdersSettings(buckets=1)  # owned by "b"
 TINY = OrdersSettings(
     relays_claims=False,
     buckets=1,
@@ -267,6 +269,13 @@
         RELAYS,
         latencies=Latencies(store_timeout_ms=300.0),
     ),
+    Scenario(
+        "the store is restored to before the claim, and then the owner dies",
+        (Ask(0, "a", "done"), Ask(1500, "a", "recorded")),
+        1,
+        (Do(400, "restore", (0,)), Do(500, "ask", ("a", "another")), Do(1000, "end", ("b",))),
+        RELAYS_ONE,
+    ),
     *(
         Scenario(
             f"known not to have run: {type(reply).__name__}",
@@ -314,6 +323,13 @@
 class Stage(World):
     """A world in which links can be unplugged."""
 
+    def restore(self, revision):
+        self.store = restore_store(self.store, revision)
+
+    def end(self, instance):
+        self.kill(instance)
+        self.announce()
+
     def unplug(self, pair):
         self.cut.add(pair)
         self.announce()
