Close the notice of an unsettled change once the store shows that it never arrived

Cause: a write that was lost before it took effect left configuration-unsettled open until the next change, although the store could be read. Change: a store that still lacks the change 10 s after the answer settles it as not committed. Measured: two scenarios, a lost write with the store up and with the store out for a minute.

--- a/savoryarch/configuration/_following.py
+++ b/savoryarch/configuration/_following.py
@@ -29,6 +29,7 @@
     KeysChanged,
     KeysListed,
     ListKeys,
+    LogEvent,
     SetTimer,
     StoreReply,
     WatchCompacted,
@@ -37,6 +38,7 @@
 
 RETRY_TIMER = "configuration/store"
 RELIST_INTERVAL_MS = 30_000.0
+LATE_WRITE_MS = 10_000.0
 WATCHERS_SUBJECT = "configuration-watchers"
 
 
@@ -91,6 +93,7 @@
             state = replace(state, store=store)
             entry = held[0] if held else KeyAbsent(CONFIGURATION_KEY, revision)
             decided = take_stored(state, entry, store.asked_generation)
+            decided = then(decided, lambda after: _give_up_unsettled(after, now_ms))
             return then(decided, lambda after: fire_store(after, "listed", now_ms))
         case KeysChanged(revision=revision) if revision < store.since_revision:
             return fire_store(_seen(state, now_ms), "compacted", now_ms)
@@ -136,6 +139,23 @@
     return take_record(state, record, "store")
 
 
+def _give_up_unsettled(state: ConfigurationState, now_ms: float) -> ConfigurationDecided:
+    """Drop unknown changes that the store still lacks when a late write must have arrived."""
+    gone = [
+        change_id
+        for change_id, item in sorted(state.unsettled.items())
+        if now_ms - item.since_ms >= LATE_WRITE_MS
+    ]
+    unsettled = state.unsettled
+    for change_id in gone:
+        unsettled = unsettled.delete(change_id)
+    effects = tuple(
+        LogEvent("change_settled", (("change_id", change_id), ("outcome", "not_committed")))
+        for change_id in gone
+    )
+    return Decided(replace(state, unsettled=unsettled), effects)
+
+
 def _hear_changes(
     state: ConfigurationState, reply: KeysChanged, now_ms: float
 ) -> ConfigurationDecided:
--- a/savoryarch/configuration/tests/fleet.py
+++ b/savoryarch/configuration/tests/fleet.py
@@ -79,6 +79,7 @@
         self.loss = 0.0
         self.reply_loss = 0.0
         self.late_writes = 0.0
+        self.lost_writes = 0.0
         self.committed = {}
         self.value = (None, 0)
         self.revision = 0
@@ -236,15 +237,22 @@
             case WatchKeys():
                 self.waiters.append(Waiter(instance_id, call))
                 self.later(call.wait_ms, "store", (instance_id, EndWatch(call)))
-            case SwapKey() if not late and self.random.random() < self.late_writes:
-                self.later(LATE_WRITE_MS, "store", (instance_id, call, True))
-                unreachable = StoreUnreachable("no reply in time")
-                self.reply(instance_id, call, unreachable, STORE_TIMEOUT_MS)
-            case SwapKey() if call.expected_revision not in (ANY_REVISION, revision):
-                self.reply(instance_id, call, SwapConflict(call.key, revision))
             case SwapKey():
-                self.write(call.value)
-                self.reply(instance_id, call, Swapped(call.key, self.revision), loses=True)
+                self.swap(instance_id, call, revision, late)
+
+    def swap(self, instance_id, call, revision, late):
+        """Let a write take effect, now, later or not at all."""
+        if self.random.random() < self.lost_writes:
+            self.reply(instance_id, call, StoreUnreachable("lost"), STORE_TIMEOUT_MS)
+        elif not late and self.random.random() < self.late_writes:
+            self.later(LATE_WRITE_MS, "store", (instance_id, call, True))
+            unreachable = StoreUnreachable("no reply in time")
+            self.reply(instance_id, call, unreachable, STORE_TIMEOUT_MS)
+        elif call.expected_revision not in (ANY_REVISION, revision):
+            self.reply(instance_id, call, SwapConflict(call.key, revision))
+        else:
+            self.write(call.value)
+            self.reply(instance_id, call, Swapped(call.key, self.revision), loses=True)
 
     def write(self, value):
         self.revision += 1
--- a/savoryarch/configuration/tests/test_scenarios.py
+++ b/savoryarch/configuration/tests/test_scenarios.py
@@ -81,6 +81,9 @@
     def delay_writes(self, share):
         self.fleet.late_writes = share
 
+    def lose_writes(self, share):
+        self.fleet.lost_writes = share
+
     def restore(self, index):
         self.fleet.restore(index)
 
@@ -104,6 +107,12 @@
         for instance_id in self.fleet.states:
             assert self.fleet.notices.get(instance_id, set()) == set(notices), instance_id
 
+    def expect_notice_at(self, number, notice):
+        assert self.fleet.notices[f"entry-{number}"] == {notice}
+
+    def expect_settled(self):
+        assert not any(state.unsettled for state in self.fleet.states.values())
+
     def expect_status(self, number, generations):
         self.fleet.give(f"entry-{number}", StatusAsked("s"))
         self.fleet.run(600)
@@ -179,6 +188,29 @@
         ("expect_in_force", 1),
         ("expect_notices",),
     ],
+    "the write is lost before it takes effect": [
+        ("lose_writes", 1.0),
+        ("ask", 0, "c1", put(1.0)),
+        ("run", 5000),
+        ("expect_outcome", "c1", ChangeUnknown),
+        ("lose_writes", 0.0),
+        ("run", 60_000),
+        ("expect_in_force", 0),
+        ("expect_settled",),
+        ("expect_notices",),
+    ],
+    "a write is lost and the store stays out": [
+        ("lose_writes", 1.0),
+        ("ask", 0, "c1", put(1.0)),
+        ("run", 5000),
+        ("store",),
+        ("run", 60_000),
+        ("expect_notice_at", 0, UNSETTLED),
+        ("store", 0),
+        ("run", 5000),
+        ("expect_settled",),
+        ("expect_notices",),
+    ],
     "the store is out": [
         *CALM,
         ("store",),
