Give one outcome to a change that is asked twice at once, and no refusal that may turn untrue

Cause: the same change sent again while the first is under way replaced the one that waited, which then got no answer. A refusal after a lost write could be given while the write could still arrive. Change: the API hands a change to the instance once and its outcome to all who asked; a refusal is given only once the key has moved on from the revision that the lost write replaces.

--- a/savoryarch/api/_app.py
+++ b/savoryarch/api/_app.py
@@ -11,6 +11,7 @@
 
 from savoryarch.api._access import Access, Role, find_role
 from savoryarch.api._bridge import OperatorBridge
+from savoryarch.api._pending import PendingChanges
 from savoryarch.api._replies import (
     encode_change_outcome,
     encode_findings,
@@ -23,6 +24,7 @@
 from savoryarch.api._requests import (
     DEFAULT_WAIT_MS,
     MAX_WAIT_MS,
+    AppliedChanges,
     BadRequestError,
     FindingsRequestError,
     read_apply,
@@ -38,6 +40,7 @@
     ChangeAsked,
     DeleteResource,
     Kind,
+    PutResource,
     ResourceKey,
     StatusAsked,
     resource_key,
@@ -66,6 +69,7 @@
         return _handle(bridge, known, request, answer)
 
     _add_resource_routes(app, bridge, handle)
+    _add_change_routes(app, bridge, handle)
     _add_status_routes(app, bridge, handle)
 
     @app.handle_errors(HTTPException)
@@ -88,25 +92,38 @@
     def get_resource(request: Request, kind: str, name: str) -> Any:
         return handle(request, lambda: _get(bridge, ResourceKey(read_kind(kind), name)))
 
+    @app.route("/v1/watch", methods=["GET"])
+    def watch(request: Request) -> Any:
+        return handle(request, lambda: _watch(bridge, request))
+
+
+def _add_change_routes(app: Klein, bridge: OperatorBridge, handle: Any) -> None:
+    pending = PendingChanges(bridge)
+
+    def submit(change_id: str, *changes: Change) -> Deferred:
+        asked = ChangeAsked(change_id or bridge.next_request_id(), changes)
+        return pending.submit(asked).addCallback(
+            lambda outcome: encode_change_outcome(asked.change_id, outcome)
+        )
+
     @app.route("/v1/resources/<kind>/<name>", methods=["PUT"])
     def put_resource(request: Request, kind: str, name: str) -> Any:
-        return handle(request, lambda: _put(bridge, request, read_kind(kind), name))
+        return handle(request, lambda: submit("", _read_put(request, read_kind(kind), name)))
 
     @app.route("/v1/resources/<kind>/<name>", methods=["DELETE"])
     def delete_resource(request: Request, kind: str, name: str) -> Any:
-        return handle(request, lambda: _delete(bridge, request, ResourceKey(read_kind(kind), name)))
+        return handle(
+            request,
+            lambda: submit("", _read_delete(bridge, request, ResourceKey(read_kind(kind), name))),
+        )
 
     @app.route("/v1/apply", methods=["POST"])
     def apply(request: Request) -> Any:
-        return handle(request, lambda: _apply(bridge, request))
+        return handle(request, lambda: _submit_applied(read_apply(_body(request)), submit))
 
     @app.route("/v1/restore", methods=["POST"])
     def restore(request: Request) -> Any:
-        return handle(request, lambda: _change(bridge, "", (read_restore(_body(request)),)))
-
-    @app.route("/v1/watch", methods=["GET"])
-    def watch(request: Request) -> Any:
-        return handle(request, lambda: _watch(bridge, request))
+        return handle(request, lambda: submit("", read_restore(_body(request))))
 
 
 def _add_status_routes(app: Klein, bridge: OperatorBridge, handle: Any) -> None:
@@ -180,26 +197,18 @@
     return encode_value(resource_to_json(resource, record.revisions[key]))
 
 
-def _put(bridge: OperatorBridge, request: Request, kind: Kind, name: str) -> Any:
-    return _change(bridge, "", (read_put(kind, name, _body(request), _expected_revision(request)),))
+def _read_put(request: Request, kind: Kind, name: str) -> PutResource:
+    return read_put(kind, name, _body(request), _expected_revision(request))
 
 
-def _delete(bridge: OperatorBridge, request: Request, key: ResourceKey) -> Any:
+def _read_delete(bridge: OperatorBridge, request: Request, key: ResourceKey) -> DeleteResource:
     if find_resource(bridge.read_state().configuration.record.declarations, key) is None:
         raise BadRequestError(404, "unknown_resource", f"resource {key} does not exist")
-    return _change(bridge, "", (DeleteResource(key, _expected_revision(request)),))
-
-
-def _apply(bridge: OperatorBridge, request: Request) -> Any:
-    applied = read_apply(_body(request))
-    return _change(bridge, applied.change_id, applied.changes)
+    return DeleteResource(key, _expected_revision(request))
 
 
-def _change(bridge: OperatorBridge, change_id: str, changes: tuple[Change, ...]) -> Deferred:
-    asked = ChangeAsked(change_id or bridge.next_request_id(), changes)
-    return bridge.submit(asked).addCallback(
-        lambda outcome: encode_change_outcome(asked.change_id, outcome)
-    )
+def _submit_applied(applied: AppliedChanges, submit: Callable[..., Deferred]) -> Deferred:
+    return submit(applied.change_id, *applied.changes)
 
 
 def _watch(bridge: OperatorBridge, request: Request) -> Any:
--- a/savoryarch/api/tests/test_api.py
+++ b/savoryarch/api/tests/test_api.py
@@ -3,9 +3,10 @@
 
 import pytest
 from treq.testing import StubTreq
-from twisted.internet.defer import succeed
+from twisted.internet.defer import Deferred, succeed
 
 from savoryarch.api import Access, Role, find_role, hash_token, make_operator_app
+from savoryarch.api._pending import PendingChanges
 from savoryarch.configuration.tests.fleet import Fleet
 from savoryarch.model import (
     AnswerChange,
@@ -211,6 +212,19 @@
     assert call(bridge, "GET", "/v1/resources/caller/a")[0] == 404
 
 
+def test_same_change_asked_twice_at_once_is_submitted_once():
+    bridge = Bridge()
+    submitted = []
+    bridge.submit = lambda asked: submitted.append(Deferred()) or submitted[-1]
+    pending = PendingChanges(bridge)
+    asked = ChangeAsked("release-7", (PutResource(Caller("portal")),))
+    outcomes = []
+    for _ in range(2):
+        pending.submit(asked).addCallback(outcomes.append)
+    submitted[0].callback(ChangeAccepted(1))
+    assert (len(submitted), outcomes) == (1, [ChangeAccepted(1)] * 2)
+
+
 ACCESS = Access((hash_token("reader"),), (hash_token("writer"),))
 
 
--- a/savoryarch/configuration/_changes.py
+++ b/savoryarch/configuration/_changes.py
@@ -76,8 +76,8 @@
             state, (AnswerChange(asked.change_id, outcome), Count("changes", "queue_full"))
         )
     if any(change.change_id == asked.change_id for change in state.changes):
-        outcome = ChangeUnavailable("the same change is already under way on this instance")
-        return Decided(state, (AnswerChange(asked.change_id, outcome),))
+        # The answer of the first is the answer of both.
+        return Decided(state, (Count("changes", "repeated"),))
     change = PendingChange(asked.change_id, asked.changes)
     state = replace(state, changes=(*state.changes, change))
     timer = SetTimer(DEADLINE_TIMER + asked.change_id, now_ms + state.settings.change_timeout_ms)
@@ -154,6 +154,8 @@
 ) -> ConfigurationDecided:
     head = state.changes[_HEAD]
     stored = decode_stored(state, entry)
+    if stored is None and _may_still_commit(head, entry):
+        return _fire(state, "unreachable", now_ms)
     if stored is None:
         return _settle(state, ChangeUnavailable("the store's value cannot be decoded"), now_ms)
     state = replace(state, store=replace(state.store, seen_at_ms=now_ms))
@@ -186,10 +188,22 @@
                 outcome=ChangeAccepted(record.generation),
             )
             return _fire(_set_change(state, _HEAD, head), "ready", now_ms)
+        case outcome if _may_still_commit(state.changes[_HEAD], entry):
+            return _fire(state, "unreachable", now_ms)
         case outcome:
             return _settle(state, outcome, now_ms)
 
 
+def _may_still_commit(change: PendingChange, entry: KeyRead | KeyAbsent) -> bool:
+    """Return whether a swap whose reply was lost may yet take effect, so that no refusal is true.
+
+    It can for as long as the key is at the revision that the swap replaces.
+    """
+    revision = entry.revision if isinstance(entry, KeyRead) else 0
+    proposed = change.proposed
+    return change.swap_lost and proposed is not None and proposed.expected_revision == revision
+
+
 def _settle(
     state: ConfigurationState, outcome: ChangeOutcome, now_ms: float
 ) -> ConfigurationDecided:
--- a/savoryarch/configuration/tests/test_scenarios.py
+++ b/savoryarch/configuration/tests/test_scenarios.py
@@ -211,6 +211,13 @@
         ("expect_settled",),
         ("expect_notices",),
     ],
+    "a change is asked again while it is under way": [
+        ("ask", 0, "c1", put(1.0)),
+        ("ask", 0, "c1", put(1.0)),
+        ("run", 1000),
+        ("expect_outcome", "c1", ChangeAccepted),
+        ("expect_in_force", 1),
+    ],
     "the store is out": [
         *CALM,
         ("store",),
--- a/savoryarch/model/_changes.py
+++ b/savoryarch/model/_changes.py
@@ -138,7 +138,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerChange:
-    """Give the operator the outcome, exactly once per `ChangeAsked`."""
+    """Give the operators the outcome, once per change id; one answer for all who asked it."""
 
     change_id: str
     outcome: ChangeOutcome
