Tell hot innocent requests from those that crash targets, on real processes

Change: replies before a crash are remembered (bounded) and speak for a request; losses of a target that go on belong to the same crash; suspects of one crash take turns (4 x 25 ms) so that two instances don't probe two of them together. The target stand-in stops listening while it is down, instead of accepting and closing.

--- a/savoryarch/quarantine/_decide.py
+++ b/savoryarch/quarantine/_decide.py
@@ -74,7 +74,8 @@
     """Return whether an attempt may go to a target now.
 
     A suspect runs one attempt at a time, where nothing of this instance runs beside it, and at the
-    services that it is suspected of crashing first.
+    services that it is suspected of crashing first. The suspects of one crash take turns there, by
+    their fingerprints, so that other instances don't run another one beside it.
     """
     record = state.records.get(fingerprint)
     if record is None:
@@ -85,7 +86,8 @@
         return Clear()
     mark = record.marks.get(service, _NO_MARK)
     is_alone = not state.running.get(fingerprint) and not state.in_flight.get(target_id)
-    return Clear() if is_alone and mark.crashes > mark.clean else Alone()
+    is_probe = mark.crashes > mark.clean and _is_its_turn(state, fingerprint, mark, now_ms)
+    return Clear() if is_alone and is_probe else Alone()
 
 
 def note_started(
@@ -122,7 +124,10 @@
         in_flight=_put(state.in_flight, target_id, attempts.delete(attempt_id)),
         running=_count_down(state.running, attempt.fingerprint),
     )
-    if not replied or attempt.fingerprint not in state.records:
+    if not replied:
+        return Decided(state)
+    state = _remember_reply(state, attempt)
+    if attempt.fingerprint not in state.records:
         return Decided(state)
     was_suspect = _is_suspect_at(state, attempt.fingerprint, attempt.service)
     state = _add_reply(state, attempt.fingerprint, attempt.service)
@@ -136,7 +141,8 @@
 
     Call it when a connection to the target is lost with a request in flight, before `note_ended`;
     the losses that follow at once count as the same crash. If some of the requests are suspects at
-    this service already, they explain the crash, and the others are not blamed.
+    this service already, they explain the crash, and the others are not blamed; nor are those that
+    got a reply from the service of late, if there are others.
     """
     attempts = state.in_flight.get(target_id, Map())
     if not attempts:
@@ -144,7 +150,10 @@
     service = next(iter(attempts.values())).service
     blamed = sorted({attempt.fingerprint for attempt in attempts.values()})
     fresh = [item for item in blamed if not _is_same_crash(state, item, service, target_id, now_ms)]
-    fresh = [item for item in fresh if _is_suspect_at(state, item, service)] or fresh
+    state = _extend_crash(state, set(blamed) - set(fresh), service, now_ms)
+    unknown = [item for item in fresh if (item, service) not in state.replied]
+    suspects = [item for item in fresh if _is_suspect_at(state, item, service)]
+    fresh = suspects or unknown or fresh
     if not fresh:
         return Decided(state)
     step = _blame(state, fresh, service, target_id, now_ms)
@@ -188,7 +197,7 @@
     effects: list[object] = []
     for fingerprint in blamed:
         record = state.records.get(fingerprint, _NO_RECORD)
-        old = record.marks.get(service, _NO_MARK)
+        old = record.marks.get(service) or _first_mark(state, fingerprint, service)
         mark = Mark(old.crashes + 1, old.clean, target_id, now_ms)
         record = replace(record, marks=record.marks.set(service, mark))
         if not _deserves_quarantine(state, mark):
@@ -206,6 +215,35 @@
     return Decided(state, tuple(effects))
 
 
+def _first_mark(state: QuarantineState, fingerprint: str, service: str) -> Mark:
+    """Return a mark in which replies from before the first crash count as one."""
+    return Mark(clean=1) if (fingerprint, service) in state.replied else _NO_MARK
+
+
+def _extend_crash(
+    state: QuarantineState, fingerprints: Iterable[str], service: str, now_ms: float
+) -> QuarantineState:
+    """Let losses that go on belong to the same crash, for as long as they go on."""
+    for fingerprint in fingerprints:
+        record = state.records[fingerprint]
+        mark = replace(record.marks[service], at_ms=now_ms)
+        record = replace(record, marks=record.marks.set(service, mark))
+        state = replace(state, records=state.records.set(fingerprint, record))
+    return state
+
+
+def _remember_reply(state: QuarantineState, attempt: InFlight) -> QuarantineState:
+    key = (attempt.fingerprint, attempt.service)
+    if key in state.replied:
+        return state
+    number = state.replied_count
+    replied, order = state.replied.set(key, number), state.replied_order.set(number, key)
+    oldest = number - state.settings.max_replied
+    if oldest >= 0:
+        replied, order = replied.delete(order[oldest]), order.delete(oldest)
+    return replace(state, replied=replied, replied_order=order, replied_count=number + 1)
+
+
 def _add_reply(state: QuarantineState, fingerprint: str, service: str) -> QuarantineState:
     record = state.records.get(fingerprint)
     if record is None or service not in record.marks:
@@ -216,6 +254,12 @@
     return replace(state, records=state.records.set(fingerprint, record))
 
 
+def _is_its_turn(state: QuarantineState, fingerprint: str, mark: Mark, now_ms: float) -> bool:
+    slots = state.settings.probe_slots
+    turn = int((now_ms - mark.at_ms) / state.settings.probe_slot_ms) % slots
+    return turn == int.from_bytes(fingerprint.encode()) % slots
+
+
 def _deserves_quarantine(state: QuarantineState, mark: Mark) -> bool:
     return mark.crashes - mark.clean >= state.settings.crashes
 
--- a/savoryarch/quarantine/_state.py
+++ b/savoryarch/quarantine/_state.py
@@ -71,6 +71,12 @@
         Attempts in flight by fingerprint.
     records : Map
         `Record` by fingerprint: suspects and quarantined requests.
+    replied : Map
+        Fingerprints and services of requests that got a reply of late, with their number.
+    replied_order : Map
+        The same by number, so that the oldest can be forgotten.
+    replied_count : int
+        How many were ever added.
     expiry : Heap
         Fingerprints by the time at which their record may be dropped.
     numbered : int
@@ -81,6 +87,9 @@
     in_flight: Map[str, Map[str, InFlight]] = field(default_factory=Map)
     running: Map[str, int] = field(default_factory=Map)
     records: Map[str, Record] = field(default_factory=Map)
+    replied: Map[tuple[str, str], int] = field(default_factory=Map)
+    replied_order: Map[int, tuple[str, str]] = field(default_factory=Map)
+    replied_count: int = 0
     expiry: Heap[str] = None
     numbered: int = 0
 
--- a/savoryarch/quarantine/tests/test_quarantine.py
+++ b/savoryarch/quarantine/tests/test_quarantine.py
@@ -109,6 +109,58 @@
     assert judge_attempt(state, "P", service, target_id, 10.0) == verdict
 
 
+@pytest.mark.parametrize(
+    ("fingerprint", "now_ms", "verdict"),
+    [
+        ("P", 29.0, Clear()),
+        ("P", 31.0, Alone()),
+        ("Q", 29.0, Alone()),
+        ("Q", 31.0, Clear()),
+        ("P", 106.0, Clear()),
+    ],
+)
+def test_suspects_of_one_crash_take_turns(fingerprint, now_ms, verdict):
+    state = play(["5 report s t1 P Q"])
+    assert judge_attempt(state, fingerprint, "s", "t2", now_ms) == verdict
+
+
+REPLY = ["0 start 0 s t9 P", "1 reply 0 t9"]
+
+
+@pytest.mark.parametrize(
+    ("steps", "verdict"),
+    [
+        ([*REPLY, *CRASH_1], Clear()),
+        ([*REPLY, *CRASH_1, *CRASH_2], Alone()),
+        ([*REPLY, *CRASH_1, *CRASH_2, "20 start 3 s t3 P", "25 crash t3"], Quarantined(1000.0)),
+        # beside one that never got a reply it is not blamed at all
+        ([*REPLY, "2 start 7 s t1 Q", *CRASH_1, "9 start 8 s t2 Q", *CRASH_2], Clear()),
+        # a reply from another service says nothing
+        (["0 start 0 r u1 P", "1 reply 0 u1", *CRASH_1], Alone()),
+        # a target that goes on losing connections has not crashed again
+        (
+            [*CRASH_1, "150 start 2 s t1 P", "150 crash t1", "150 lost 2 t1"]
+            + ["300 start 3 s t1 P", "300 crash t1", "300 lost 3 t1"],
+            Alone(),
+        ),
+    ],
+)
+def test_replies_before_the_crash_and_lasting_losses(steps, verdict):
+    state = play(steps)
+    now_ms = float(steps[-1].split()[0])
+    assert (
+        judge_attempt(note_started(state, "z", "s", "t9", "P"), "P", "s", "t9", now_ms) == verdict
+    )
+
+
+def test_remembered_replies_are_bounded():
+    state = make_quarantine_state(replace(SETTINGS, max_replied=5))
+    for number in range(20):
+        state = play([f"0 start 1 s t1 F{number}", "1 reply 1 t1"], state)
+    assert sorted(state.replied) == [(f"F{number}", "s") for number in range(15, 20)]
+    assert len(state.replied_order) == 5
+
+
 @pytest.mark.parametrize(
     ("now_ms", "verdict"),
     [(1014.0, Quarantined(1.0)), (1015.0, Clear()), (1600.0, Clear())],
@@ -162,7 +214,7 @@
     assert (fingerprint_of(*one) == fingerprint_of(*other)) is same
 
 
-LONG = QuarantineSettings(quarantine_ms=1e6, suspicion_ms=1e6)
+LONG = QuarantineSettings(quarantine_ms=1e6, suspicion_ms=1e6, probe_slots=1)
 INNOCENT = ("hot", "cold")
 SENDS = st.lists(
     st.tuples(st.sampled_from(["P", *INNOCENT, "replies"]), st.integers(0, 1), st.integers(0, 2)),
--- a/savoryarch_standins/target/_server.py
+++ b/savoryarch_standins/target/_server.py
@@ -63,14 +63,18 @@
         self._exchanges: dict[int, Request] = {}
         self._next_exchange = 0
         self._site = LimitedSite(self)
+        self._host, self._number = "", 0
+        self._port: Any = None
+        self._is_closed = False
         step = make_target(spec, behaviour, seed, clock.now_ms())
         self.state: TargetStandinState = step.state
         self._perform_all(step.effects)
 
     def listen(self, host: str) -> int:
         """Listen and return the port."""
-        port = self._reactor.listenTCP(self.state.spec.port, self._site, interface=host)
-        return int(port.getHost().port)
+        self._host = host
+        self._port = self._reactor.listenTCP(self.state.spec.port, self._site, interface=host)
+        return int(self._port.getHost().port)
 
     def serve(self, resource: Resource) -> None:
         """Serve `resource` on the port."""
@@ -81,6 +85,8 @@
         step = decide_target(self.state, event, self._clock.now_ms())
         self.state = step.state
         self._perform_all(step.effects)
+        if self._is_closed and self.is_reachable():
+            self._open_port()
 
     def is_reachable(self) -> bool:
         """Return whether connections are accepted."""
@@ -148,6 +154,17 @@
         request.write(body)
         request.finish()
 
+    def _close_port(self) -> None:
+        """Refuse connections, as the address of a process that has ended does."""
+        if self._port is not None:
+            self._number = self._port.getHost().port
+            self._port.stopListening()
+            self._is_closed = True
+
+    def _open_port(self) -> None:
+        self._port = self._reactor.listenTCP(self._number, self._site, interface=self._host)
+        self._is_closed = False
+
     def _perform_all(self, effects: tuple[object, ...]) -> None:
         for effect in effects:
             self._perform(effect)  # type: ignore[arg-type]
@@ -164,6 +181,7 @@
             case DropConnections(exits=exits):
                 self._exchanges.clear()
                 self._site.drop()
+                self._close_port()
                 if exits:
                     self._exit_process()
 
