--- a/benchmarks/bench_batch.py
+++ b/benchmarks/bench_batch.py
@@ -15,6 +15,8 @@
 
 
 class SubAnswer(Struct, array_like=True):
+    """One shard's answer to one request, as it travels in a frame."""
+
     request: int
     shard: int
     complete: bool
