--- a/savoryarch/membership/tests/test_membership.py
+++ b/savoryarch/membership/tests/test_membership.py
@@ -253,3 +253,35 @@
     ids = [name(number) for number in range(count)]
     probed = [peer for instance_id in ids for peer in neighbours_on_ring(instance_id, ids)]
     assert {probed.count(instance_id) for instance_id in ids} == {expected}
+
+
+@pytest.mark.parametrize("missed", ["death", "start"])
+def test_a_view_that_missed_the_news_is_repaired(missed):
+    fleet = start_fleet(20)
+    observer = fleet.running[name(0)]
+    if missed == "death":
+        stranger = next(
+            peer for peer in sorted(observer.state.live) if peer not in observer.state.neighbours
+        )
+        fleet.conditions = Conditions(list_kind="failed")
+        fleet.kill(stranger)
+    else:
+        fleet.start(name(99), "zone-a", 7099, listed=False)
+    fleet.run(CALM_MS)
+    fleet.running[name(0)] = observer
+    assert not everyone_sees_each_other(fleet)
+    assert fleet.run(30_000, lambda: everyone_sees_each_other(fleet))
+
+
+def test_a_pause_ends_no_suspicion():
+    fleet = start_fleet()
+    fleet.conditions = Conditions(is_cut=lambda sender_id, receiver_id: receiver_id == name(1))
+    assert fleet.run(CALM_MS, lambda: name(1) in fleet.running[name(0)].state.suspected)
+    fleet.freeze(name(0))
+    fleet.conditions = Conditions()
+    fleet.run(30_000)
+    fleet.counts.clear()
+    fleet.resume(name(0))
+    fleet.run(10_000)
+    assert fleet.counts[("membership", "dead")] == 0
+    assert everyone_sees_each_other(fleet)
--- a/tests/process/callers.py
+++ b/tests/process/callers.py
@@ -66,6 +66,11 @@
         for thread in self._threads:
             thread.join()
 
+    def resend(self, sent):
+        """Send an order once more with its key; returns what came back."""
+        with requests.Session() as connection:
+            return self._post(connection, sent.path, sent.key)
+
     def cut(self):
         """Return the requests that were cut or got anything but a whole answer."""
         return [sent for sent in self.sent if sent.status != 200 or '"left_out":[{' in sent.body]
@@ -89,6 +94,9 @@
     def _send(self, connection, ordering):
         key = f"order-{id(self)}-{next(self._numbers)}" if ordering else ""
         path = "/v1/routes/order" if ordering else "/v1/searches/counter"
+        return self._post(connection, path, key)
+
+    def _post(self, connection, path, key):
         headers = {"x-caller": "counter-app"} | ({"idempotency-key": key} if key else {})
         try:
             reply = connection.post(
