--- a/savoryarch/orders/_bucket.py
+++ b/savoryarch/orders/_bucket.py
@@ -11,6 +11,7 @@
 from savoryarch.model import (
     Claim,
     Claimant,
+    ClaimBucketFull,
     ClaimFailed,
     ClaimHeld,
     KeyAbsent,
@@ -32,19 +33,17 @@
     Submitted,
     bucket_of,
     compose,
+    is_free,
     is_settled,
     is_superseded,
+    lost_claims,
     resolve,
 )
-from savoryarch.orders._ownership import owned_buckets
+from savoryarch.orders._ownership import owner_of
 from savoryarch.orders._state import Bucket, Settled, Turn
 from savoryarch.orders._values import decode_bucket, encode_bucket
 from savoryarch.utils import in_order
 
-_MS_PER_S = 1000.0
-_SHORTEST_PAUSE_MS = 1.0
-_BURST_S = 0.1  # writes that may be made at once, as time at the write rate
-
 Action = Callable[[Turn, Bucket, object], Turn]
 
 
@@ -136,7 +135,9 @@
 
 def decide_timer(turn: Turn, number: int) -> Turn:
     """Decide on the timer of a bucket: look again, try again or write what waited."""
-    bucket = turn.state.buckets[number]
+    bucket = turn.state.buckets.get(number)
+    if bucket is None:
+        return turn
     if _CHART.accepts(bucket.state, "retry_due"):
         has_work = bool(bucket.submitted or bucket.settled)
         return step_bucket(turn, bucket, "retry_due" if has_work else "nothing_due")
@@ -146,20 +147,6 @@
     return step_bucket(turn, bucket, "stale") if held else _follow_up(turn, bucket)
 
 
-def take_turns(turn: Turn) -> Turn:
-    """Write the buckets whose turn it is within the write rate."""
-    turn = _refill_tokens(turn)
-    while turn.state.queue and turn.state.write_tokens >= 1.0:
-        number, *rest = turn.state.queue
-        turn = turn.change(queue=tuple(rest))
-        turn = step_bucket(turn, turn.state.buckets[number], "turn")
-    if not turn.state.queue:
-        return turn
-    pause_ms = (1.0 - turn.state.write_tokens) * _MS_PER_S / _writes_per_s(turn)
-    # A pause that is lost in rounding would fire for ever at the same time.
-    return turn.emit(SetTimer("orders/turn", turn.now_ms + max(pause_ms, _SHORTEST_PAUSE_MS)))
-
-
 def step_bucket(turn: Turn, bucket: Bucket, event: str, cause: object = None) -> Turn:
     """Take a bucket through one transition of its chart."""
     transition = _CHART.step(bucket.state, event)
@@ -175,8 +162,8 @@
 
 
 def _is_refusing(turn: Turn, bucket: Bucket) -> bool:
-    # One call at a time finds out whether the store is back; other claims do not wait for it.
-    return bucket.failures >= _allowed_failures(turn) and bucket.state != _CHART.initial
+    backs_off = _CHART.accepts(bucket.state, "retry_due")
+    return backs_off and bucket.failures >= _allowed_failures(turn)
 
 
 def _allowed_failures(turn: Turn) -> int:
@@ -201,6 +188,8 @@
 
 
 def _take_value(turn: Turn, bucket: Bucket, value: BucketValue, revision: int) -> Turn:
+    if revision < bucket.revision:
+        turn, bucket = _keep_lost_claims(turn, bucket, value)
     bucket = replace(
         bucket,
         value=value,
@@ -211,22 +200,37 @@
     return step_bucket(turn, bucket, "value_read")
 
 
+def _keep_lost_claims(turn: Turn, bucket: Bucket, restored: BucketValue) -> tuple[Turn, Bucket]:
+    """Write again what a store that went back to an older revision has lost."""
+    lost = lost_claims(bucket.value, restored, turn.state.settings)
+    settled = bucket.settled
+    for claim in lost:
+        if claim.claimant not in settled:
+            settled = settled.set(claim.claimant, Settled(claim))
+    fields = (("bucket", str(bucket.number)), ("lost_claims", str(len(lost))))
+    turn = turn.emit(LogEvent("claim_bucket_restored", fields))
+    return turn, replace(bucket, settled=settled, settle_at_ms=turn.now_ms)
+
+
 def _resolve(turn: Turn, bucket: Bucket, cause: object) -> Turn:
     """Tell the claims that came to something, and see what is left to write."""
     settings = turn.state.settings
     bucket = _drop_expired(turn, bucket)
     submitted = bucket.submitted
     for _, item in in_order(submitted):
+        fresh = bucket.value_call > item.after_call
+        item = replace(item, key_unused=item.key_unused or _shows_unused(bucket, item, fresh))
         found = resolve(bucket.value, item, settings)
         match found:
             case None:
-                fresh = bucket.value_call > item.after_call
-                left = replace(item, held=False, key_unused=item.key_unused or fresh)
+                left = replace(item, held=False)
                 submitted = submitted.set(item.claim.claimant, left)
             case ClaimHeld():
                 if not item.held:
                     turn = turn.report(item, found)
                 submitted = submitted.set(item.claim.claimant, replace(item, held=True))
+            case ClaimBucketFull() if not fresh:
+                pass  # read first, so that the refusal can say whether the key is unused
             case _:
                 submitted = submitted.delete(item.claim.claimant)
                 turn = turn.report(item, found)
@@ -235,6 +239,11 @@
     return _follow_up(turn.put_bucket(bucket), bucket)
 
 
+def _shows_unused(bucket: Bucket, item: Submitted, fresh: bool) -> bool:
+    held = bucket.value.claims.get(item.claim.digest)
+    return fresh and (held is None or is_free(held))
+
+
 def _drop_expired(turn: Turn, bucket: Bucket) -> Bucket:
     submitted = bucket.submitted
     for claimant, item in submitted.items():
@@ -246,7 +255,9 @@
 def _forget_recorded(turn: Turn, bucket: Bucket) -> tuple[Turn, Bucket]:
     settled = bucket.settled
     for claimant, item in in_order(settled):
-        if is_settled(bucket.value, item.claim) and not _is_stale(bucket, item):
+        if is_settled(bucket.value, item.claim, turn.state.settings) and not _is_stale(
+            bucket, item
+        ):
             settled = settled.delete(claimant)
             if item.from_peer:
                 turn = turn.post(item.from_peer, TellRecorded(claimant))
@@ -259,9 +270,17 @@
     return not is_fresh and is_superseded(bucket.value, settled.claim)
 
 
+def _needs_read(bucket: Bucket) -> bool:
+    """Return whether an old value keeps an outcome or a claim without room from its end."""
+    without_room = any(
+        item.composed and bucket.value_call <= item.after_call for item in bucket.submitted.values()
+    )
+    return without_room or any(_is_stale(bucket, item) for item in bucket.settled.values())
+
+
 def _follow_up(turn: Turn, bucket: Bucket) -> Turn:
     """Join the queue for a write if there is something to write now, else read or set a timer."""
-    if any(_is_stale(bucket, item) for item in bucket.settled.values()):
+    if _needs_read(bucket):
         return step_bucket(turn, bucket, "stale")
     held = [item.held for item in bucket.submitted.values()]
     settled_due = bool(bucket.settled) and bucket.settle_at_ms <= turn.now_ms
@@ -272,7 +291,8 @@
     due_at_ms = [turn.now_ms + turn.state.settings.held_poll_ms] if held else []
     due_at_ms += [bucket.settle_at_ms] if bucket.settled else []
     if not due_at_ms:
-        return turn
+        is_owner = owner_of(turn.state, bucket.number) == turn.state.instance_id
+        return turn if is_owner else step_bucket(turn, bucket, "idle")
     return turn.emit(SetTimer(f"orders/bucket/{bucket.number}", min(due_at_ms)))
 
 
@@ -310,6 +330,11 @@
     return turn.put_bucket(bucket)
 
 
+def _forget(turn: Turn, bucket: Bucket, cause: object) -> Turn:
+    # Only owners keep values, which would otherwise add up to every claim at every instance.
+    return turn.change(buckets=turn.state.buckets.delete(bucket.number))
+
+
 def _back_off(turn: Turn, bucket: Bucket, cause: object) -> Turn:
     """Pause before the next call; after several failures the waiting claims are refused."""
     settings = turn.state.settings
@@ -325,7 +350,8 @@
     if bucket.failures < _allowed_failures(turn):
         return turn.put_bucket(bucket)
     for _, item in in_order(bucket.submitted):
-        turn = turn.report(item, ClaimFailed(str(cause)[:200], item.key_unused))
+        failed = ClaimFailed(str(cause)[:200], item.key_unused, item.carried)
+        turn = turn.report(item, failed)
     return turn.put_bucket(replace(bucket, submitted=_NO_CLAIMS))
 
 
@@ -350,24 +376,12 @@
     return int(call_id.rsplit("/", 1)[1])
 
 
-def _refill_tokens(turn: Turn) -> Turn:
-    rate_per_s = _writes_per_s(turn)
-    limit = max(1.0, rate_per_s * _BURST_S)
-    elapsed_s = (turn.now_ms - turn.state.refilled_at_ms) / _MS_PER_S
-    tokens = min(limit, turn.state.write_tokens + rate_per_s * elapsed_s)
-    return turn.change(write_tokens=tokens, refilled_at_ms=turn.now_ms)
-
-
-def _writes_per_s(turn: Turn) -> float:
-    settings = turn.state.settings
-    return settings.writes_per_s * max(1, owned_buckets(turn.state)) / settings.buckets
-
-
 _NO_CLAIMS: "Map[Claimant, Submitted]" = Map()
 _ACTIONS: Mapping[str, Action] = MappingProxyType(
     {
         "adopt": _adopt,
         "back_off": _back_off,
+        "forget": _forget,
         "join_queue": _join_queue,
         "read": _read,
         "resolve": _resolve,
--- a/savoryarch/orders/_state.py
+++ b/savoryarch/orders/_state.py
@@ -38,10 +38,14 @@
         The instances that were asked to write the claim; the last one is waited for.
     key_unused : bool
         Whether the key was seen without a claim after the request arrived.
+    may_be_written : bool
+        Whether an instance that failed to write the claim may have written it.
     sent : int
         Attempts that were sent.
     tried : frozenset of str
         Targets of those attempts.
+    waits : int
+        How often no target had room.
     target_id : str
         Target of the last attempt.
     sent_at_ms : float
@@ -59,8 +63,10 @@
     claim: Claim | None = None
     writers: tuple[str, ...] = ()
     key_unused: bool = False
+    may_be_written: bool = False
     sent: int = 0
     tried: frozenset[str] = frozenset()
+    waits: int = 0
     target_id: str = ""
     sent_at_ms: float = 0.0
     may_have_run: bool = False
--- a/savoryarch/orders/tests/test_scenarios.py
+++ b/savoryarch/orders/tests/test_scenarios.py
@@ -24,6 +24,7 @@
 )
 from savoryarch.orders import OrdersSettings
 from savoryarch.orders.tests.world import Latencies, World, make_declarations
+from savoryarch_standins.store import restore_store
 
 DEADLINE_MS = 500.0
 BODY = b'{"plates": 1}'
@@ -85,7 +86,9 @@
     return Do(from_ms, "unplug", (pair,)), Do(until_ms, "plug", (pair,))
 
 
+OWNER, NOT_OWNER = "a", "b"  # of the bucket of the key
 RELAYS = OrdersSettings(relays_claims=True)
+RELAYS_ONE = OrdersSettings(buckets=1)  # owned by "b"
 TINY = OrdersSettings(
     relays_claims=False,
     buckets=1,
@@ -122,6 +125,25 @@
         1,
         (kill(9), Do(20, "start", ("a",))),
     ),
+    Scenario(
+        "started again while its claim is written",
+        (Ask(0, NOT_OWNER, ""), Ask(5, NOT_OWNER, "unknown")),
+        0,
+        (kill(3, NOT_OWNER), Do(4, "start", (NOT_OWNER,)), Do(4, "announce")),
+        RELAYS,
+    ),
+    Scenario(
+        "an owner with an old value records an outcome",
+        (
+            Ask(0, NOT_OWNER, "not_run overloaded"),
+            Ask(1000, NOT_OWNER, "done"),
+            Ask(1600, OWNER, "recorded"),
+        ),
+        1,
+        unplugged(999, 1015, OWNER, NOT_OWNER),
+        RELAYS,
+        replies=(Shed(),) * 4,
+    ),
     Scenario(
         "frozen while it claims, resumes after its deadline",
         (
@@ -247,6 +269,13 @@
         RELAYS,
         latencies=Latencies(store_timeout_ms=300.0),
     ),
+    Scenario(
+        "the store is restored to before the claim, and then the owner dies",
+        (Ask(0, "a", "done"), Ask(1500, "a", "recorded")),
+        1,
+        (Do(400, "restore", (0,)), Do(500, "ask", ("a", "another")), Do(1000, "end", ("b",))),
+        RELAYS_ONE,
+    ),
     *(
         Scenario(
             f"known not to have run: {type(reply).__name__}",
@@ -294,6 +323,13 @@
 class Stage(World):
     """A world in which links can be unplugged."""
 
+    def restore(self, revision):
+        self.store = restore_store(self.store, revision)
+
+    def end(self, instance):
+        self.kill(instance)
+        self.announce()
+
     def unplug(self, pair):
         self.cut.add(pair)
         self.announce()
