--- a/savoryarch/configuration/tests/guards.py
+++ b/savoryarch/configuration/tests/guards.py
@@ -1,11 +1,8 @@
 """The guards of the configuration: what stands in their place when they are taken away."""
 
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from importlib import import_module
 from pathlib import Path
-from unittest.mock import patch
 
 from hypothesis import Phase, settings
 
@@ -14,42 +11,11 @@
 from savoryarch.configuration.tests.test_scenarios import test_scenario
 from savoryarch.model import Decided, DeclarationsInForce, Inform, SwapKey
 from savoryarch.replay import replay_file
+from tests.guard import SubjectGuard
 
 TRACES = Path(__file__).parents[3] / "traces"
 
 
-@dataclass(frozen=True)
-class Guard:
-    """One guard and the proofs that fail without it.
-
-    Parameters
-    ----------
-    name : str
-        What the guard does.
-    promise : str
-        What must hold.
-    replaced : tuple of (str, object)
-        ``module.attribute`` within the package, and what takes its place.
-    proofs : tuple of str
-        Names of scenarios; ``random`` is the property test, and ``NAME.trace`` a trace.
-    """
-
-    name: str
-    promise: str
-    replaced: tuple[tuple[str, object], ...]
-    proofs: tuple[str, ...]
-
-    @contextmanager
-    def taken_away(self) -> Iterator[None]:
-        """Run with the guard taken away."""
-        with ExitStack() as stack:
-            for path, replacement in self.replaced:
-                module, attribute = path.split(".")
-                target = import_module(f"savoryarch.configuration.{module}")
-                stack.enter_context(patch.object(target, attribute, replacement))
-            yield
-
-
 def run_proof(name: str) -> None:
     """Run a proof; raises AssertionError if it fails."""
     if name.endswith(".trace"):
@@ -96,38 +62,38 @@
 _KEPT = "the store is restored and the configuration in force is kept"
 _TWICE = "the store is restored and an instance that knows of nothing else changes it twice"
 
-GUARDS: tuple[Guard, ...] = (
-    Guard(
+GUARDS: tuple[SubjectGuard, ...] = (
+    SubjectGuard(
         "take only what is newer",
         NEVER_REVERTS,
         (("_spreading.take_record", _take_any), ("_following.take_record", _take_any)),
         (_KEPT, "configuration-stays.trace"),
     ),
-    Guard(
+    SubjectGuard(
         "take only what came from the version in force",
         NEVER_REVERTS,
         (("_spreading.descends", _always),),
         (_TWICE,),
     ),
-    Guard(
+    SubjectGuard(
         "take a difference only if it holds everything that is lacking",
         IN_FORCE,
         (("_record.fits", _always),),
         ("one push is lost and the next one arrives",),
     ),
-    Guard(
+    SubjectGuard(
         "swap at the revision that was read",
         NEVER_REVERTS,
         (("_changes.SwapKey", _swap_any),),
         ("operators race", "random", "configuration-race.trace"),
     ),
-    Guard(
+    SubjectGuard(
         "settle a lost reply by the history of the record",
         TRUTHFUL,
         (("_evaluate.find_change", _never),),
         ("the reply to the write is lost", "configuration-lost-reply.trace"),
     ),
-    Guard(
+    SubjectGuard(
         "accept once a peer holds the change",
         IN_FORCE,
         (("_changes.check_holders", _accept_at_once),),
@@ -136,31 +102,31 @@
             "configuration-held.trace",
         ),
     ),
-    Guard(
+    SubjectGuard(
         "push a new configuration to peers",
         IN_FORCE,
         (("_spreading._push", _unchanged),),
         ("a change in calm",),
     ),
-    Guard(
+    SubjectGuard(
         "announce what is in force",
         IN_FORCE,
         (("_decide.announce", _unchanged),),
         ("messages between peers are lost",),
     ),
-    Guard(
+    SubjectGuard(
         "take turns at a store that nobody hears from",
         IN_FORCE,
         (("_decide.take_turn", _unchanged),),
         ("only an instance that does not watch reaches the store",),
     ),
-    Guard(
+    SubjectGuard(
         "refuse changes while the store is behind",
         NEVER_REVERTS,
         (("_evaluate.is_restored", _never),),
         (_KEPT,),
     ),
-    Guard(
+    SubjectGuard(
         "tell the operators that the store was restored",
         NEVER_REVERTS,
         (("_decide.update_notices", _unchanged),),
--- a/savoryarch/configuration/tests/test_guards.py
+++ b/savoryarch/configuration/tests/test_guards.py
@@ -9,5 +9,5 @@
     ("guard", "proof"), CASES, ids=[f"{guard.name}/{proof}" for guard, proof in CASES]
 )
 def test_proof_fails_without_the_guard(guard, proof):
-    with guard.taken_away(), pytest.raises((AssertionError, KeyError)):
+    with guard.taken_away("savoryarch.configuration"), pytest.raises((AssertionError, KeyError)):
         run_proof(proof)
--- a/savoryarch/orders/tests/guards.py
+++ b/savoryarch/orders/tests/guards.py
@@ -1,10 +1,6 @@
 """The guards of orders: what stands in their place when they are taken away."""
 
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass, replace
-from importlib import import_module
-from unittest.mock import patch
+from dataclasses import replace
 
 from savoryarch.model import (
     ClaimFailed,
@@ -22,43 +18,11 @@
 from savoryarch.orders.tests.test_load import check_load
 from savoryarch.orders.tests.test_orders_properties import Chaos, check
 from savoryarch.orders.tests.test_scenarios import BY_NAME, play
+from tests.guard import SubjectGuard
 
 SEEDS = range(40)
 
 
-@dataclass(frozen=True)
-class Guard:
-    """One guard and the proofs that fail without it.
-
-    Parameters
-    ----------
-    name : str
-        What the guard does.
-    promise : str
-        What must hold.
-    replaced : tuple of (str, object)
-        ``module.attribute`` within the package, and what takes its place.
-    proofs : tuple of str
-        Names of scenarios; ``random`` is the property test, ``load`` the test of the write rate
-        and the sizes.
-    """
-
-    name: str
-    promise: str
-    replaced: tuple[tuple[str, object], ...]
-    proofs: tuple[str, ...]
-
-    @contextmanager
-    def taken_away(self) -> Iterator[None]:
-        """Run with the guard taken away."""
-        with ExitStack() as stack:
-            for path, replacement in self.replaced:
-                module, attribute = path.split(".")
-                target = import_module(f"savoryarch.orders.{module}")
-                stack.enter_context(patch.object(target, attribute, replacement))
-            yield
-
-
 def run_proof(name: str) -> None:
     """Run a proof; raises AssertionError if it fails."""
     match name:
@@ -161,116 +125,116 @@
 WHOLE = "Every caller receives the whole answer to its own request; a resend gets the outcome."
 BOUNDED = "The store gets at most 200 writes a second, of values under 1 MB."
 
-GUARDS: tuple[Guard, ...] = (
-    Guard(
+GUARDS: tuple[SubjectGuard, ...] = (
+    SubjectGuard(
         "a claim of another request is left alone",
         AT_MOST_ONCE,
         (("_claims.is_free", _always),),
         ("random", "two instances race", "killed after it sent"),
     ),
-    Guard(
+    SubjectGuard(
         "an open claim stays taken when its instance is gone",
         AT_MOST_ONCE,
         (("_claims.is_free", _free_if_open),),
         ("random", "killed after it sent", "frozen after it sent"),
     ),
-    Guard(
+    SubjectGuard(
         "a conflicting swap is read again",
         AT_MOST_ONCE,
         (("_decide.decide_reply", _conflict_is_success),),
         ("random", "two instances race"),
     ),
-    Guard(
+    SubjectGuard(
         "a swap without reply is read again",
         AT_MOST_ONCE,
         (("_decide.decide_reply", _lost_reply_is_success),),
         ("random",),
     ),
-    Guard(
+    SubjectGuard(
         "a bucket that cannot be read is not taken for empty",
         NOT_RUN,
         (("_decide.decide_reply", _outage_is_absence),),
         ("the store is down before the claim",),
     ),
-    Guard(
+    SubjectGuard(
         "nothing is sent without the claim",
         AT_MOST_ONCE,
         (("_decide.deliver_resolution", _grant_failed),),
         ("random", "a resend of an order that ran, while the store is down"),
     ),
-    Guard(
+    SubjectGuard(
         "a claim of an earlier incarnation lets nothing run",
         AT_MOST_ONCE,
         (("_order._is_own", _always),),
         ("started again while its claim is written",),
     ),
-    Guard(
+    SubjectGuard(
         "what may have run is never sent again",
         AT_MOST_ONCE,
         (("_decide.decide_attempt_reply", _every_failure_is_not_run),),
         ("random", "may have run: ConnectionLost", "may have run: TimedOut"),
     ),
-    Guard(
+    SubjectGuard(
         "an unknown outcome keeps the key",
         AT_MOST_ONCE,
         (("_order._ACTIONS", _acting(settle_unknown=_settle_as_not_run)),),
         ("random", "may have run: ConnectionLost"),
     ),
-    Guard(
+    SubjectGuard(
         "the deadline is checked immediately before the send",
         NOT_RUN,
         (("_order.is_too_late", _never),),
         ("frozen while it claims, resumes after its deadline",),
     ),
-    Guard(
+    SubjectGuard(
         "'not run' is said of a key only after it was seen unused",
         NOT_RUN,
         (("_order._ACTIONS", _acting(refuse_claim=_say_unused)),),
         ("random", "a resend of an order that ran, while the store is down"),
     ),
-    Guard(
+    SubjectGuard(
         "another body under the key is refused",
         WHOLE,
         (("_order.fingerprint_body", _same_fingerprint),),
         ("another body under the key",),
     ),
-    Guard(
+    SubjectGuard(
         "outcomes are recorded",
         WHOLE,
         (("_order.record_outcome", _record_nothing),),
         ("random", "two instances race"),
     ),
-    Guard(
+    SubjectGuard(
         "an outcome is recorded for its own claim only, and the first one stays",
         AT_MOST_ONCE,
         (("_claims.settle_claim", _settle_any),),
         ("random",),
     ),
-    Guard(
+    SubjectGuard(
         "an outcome counts as recorded only by a newer value",
         WHOLE,
         (("_bucket._is_stale", _never),),
         ("an owner with an old value records an outcome",),
     ),
-    Guard(
+    SubjectGuard(
         "a resend that is older than what is kept is refused",
         AT_MOST_ONCE,
         (("_claims.is_forgotten", _never),),
         ("a resend after its outcome was dropped",),
     ),
-    Guard(
+    SubjectGuard(
         "claims that a restore of the store lost are written again",
         AT_MOST_ONCE,
         (("_bucket.lost_claims", _no_claims),),
         ("the store is restored to before the claim, and then the owner dies",),
     ),
-    Guard(
+    SubjectGuard(
         "a bucket has a size limit",
         BOUNDED,
         (("_claims.has_room", _always),),
         ("load",),
     ),
-    Guard(
+    SubjectGuard(
         "writes are paced",
         BOUNDED,
         (("_pace._refill_tokens", _unpaced),),
--- a/savoryarch/orders/tests/test_guards.py
+++ b/savoryarch/orders/tests/test_guards.py
@@ -15,5 +15,5 @@
     ("guard", "proof"), CASES, ids=[f"{guard.name}: {proof}" for guard, proof in CASES]
 )
 def test_proof_catches_a_guard_that_is_taken_away(guard, proof):
-    with guard.taken_away(), pytest.raises(AssertionError):
+    with guard.taken_away("savoryarch.orders"), pytest.raises(AssertionError):
         run_proof(proof)
--- /dev/null
+++ b/savoryarch_bench/capacity.py
@@ -0,0 +1,340 @@
+"""Works out the tables of ``docs/CAPACITY.md`` from measured slopes; run by ``make capacity``."""
+
+import subprocess
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass, fields
+from pathlib import Path
+
+from fire import Fire
+from msgspec import json
+
+PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+BENCHES = (
+    "bench_front",
+    "bench_fanout",
+    "bench_target_client",
+    "bench_batch",
+    "bench_admission",
+    "bench_quarantine",
+    "bench_claims",
+    "bench_configuration",
+    "bench_membership",
+    "bench_peers",
+    "bench_memory",
+)
+US_PER_S = 1e6
+S_PER_DAY = 86_400.0
+MS_PER_S = 1000.0
+KB_PER_MB = 1024.0
+CONFIGURATION_FRAME_BYTES = 250.0
+PEERS_SPOKEN_TO = 30
+CONTROL_CORE_PERCENT = 1.5
+CONTROL_MB = 32.0
+CONTROL_BYTES_PER_S = 9_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """The size to be carried, as the users stated it, and the choices that answer it."""
+
+    nodes: int = 740
+    targets: int = 5_700
+    queries_per_s: float = 150_000.0
+    fan_out: int = 660
+    deadline_ms: float = 66.0
+    changes_per_day: float = 1_400.0
+    restarts_per_day: float = 1_200.0
+    owners_per_target: int = 3
+    replicas_per_shard: int = 3
+    batch_window_ms: float = 2.0
+    orders_per_s: float = 5_000.0
+
+    @property
+    def node_queries_per_s(self) -> float:
+        """Queries that one node accepts in a second."""
+        return self.queries_per_s / self.nodes
+
+    @property
+    def node_sub_requests_per_s(self) -> float:
+        """Sub-requests that one node has to get answered in a second."""
+        return self.node_queries_per_s * self.fan_out
+
+    @property
+    def owned_targets(self) -> float:
+        """Targets that one node owns."""
+        return self.targets * self.owners_per_target / self.nodes
+
+    @property
+    def relay_groups(self) -> float:
+        """Owners that one query is sent to, if co-searched targets share their owners."""
+        return self.fan_out / (self.owned_targets)
+
+    @property
+    def target_sub_requests_per_s(self) -> float:
+        """Sub-requests that one target gets in a second."""
+        return self.queries_per_s * self.fan_out / self.targets
+
+
+@dataclass(frozen=True, slots=True)
+class Slopes:
+    """What was measured; the unit is the end of the name.
+
+    ``_us`` is CPU, ``_kb`` memory, ``_core`` the share of one core.
+    """
+
+    front_us: float
+    rest_kb: float
+    decision_us: float
+    client_us: float
+    batch_us: float
+    metric_us: float
+    admission_us: float
+    quarantine_us: float
+    claim_us: float
+    claim_messages: float
+    claim_writes_per_s: float
+    configuration_bytes_per_s: float
+    configuration_change_bytes: float
+    configuration_calls_per_s: float
+    configuration_p99_ms: float
+    configuration_apply_ms: float
+    configuration_value_bytes: float
+    membership_bytes_per_s: float
+    membership_messages_per_s: float
+    membership_core: float
+    detection_ms: float
+    peer_us: float
+    peer_connection_kb: float
+    transport_kb: float
+    membership_kb: float
+    configuration_kb: float
+    targets_kb: float
+    quarantine_kb: float
+
+
+@dataclass(frozen=True, slots=True)
+class ControlRow:
+    """What one control subject costs a node."""
+
+    subject: str
+    mechanism: str
+    core_percent: float
+    memory_mb: float
+    bytes_per_s: float
+    store_calls: str
+
+
+@dataclass(frozen=True, slots=True)
+class PathRow:
+    """What one role of the data path costs a node."""
+
+    role: str
+    mechanism: str
+    per_s: float
+    each_us: float
+
+    @property
+    def cores(self) -> float:
+        """Cores that the role takes."""
+        return self.per_s * self.each_us / US_PER_S
+
+
+def control_rows(size: Size, slopes: Slopes) -> tuple[ControlRow, ...]:
+    """Return the control cost of a node by subject."""
+    transport_kb = slopes.transport_kb + PEERS_SPOKEN_TO * slopes.peer_connection_kb
+    return (
+        _membership_row(slopes),
+        _configuration_row(size, slopes),
+        _restart_row(size, slopes),
+        _memory_row("targets", "state of every declared target", slopes.targets_kb),
+        _memory_row("quarantine", "bounded records, told to peers", slopes.quarantine_kb),
+        _memory_row("peer transport", "one-way nng sockets to peers spoken to", transport_kb),
+    )
+
+
+def _membership_row(slopes: Slopes) -> ControlRow:
+    core = slopes.membership_core
+    core += slopes.membership_messages_per_s * slopes.peer_us / US_PER_S
+    return ControlRow(
+        "membership",
+        "probes of ring neighbours, statements ride on them",
+        100.0 * core,
+        slopes.membership_kb / KB_PER_MB,
+        slopes.membership_bytes_per_s,
+        "none",
+    )
+
+
+def _configuration_row(size: Size, slopes: Slopes) -> ControlRow:
+    changes_per_s = size.changes_per_day / S_PER_DAY
+    messages_per_s = slopes.configuration_bytes_per_s / CONFIGURATION_FRAME_BYTES
+    core = changes_per_s * slopes.configuration_apply_ms / MS_PER_S
+    core += messages_per_s * slopes.peer_us / US_PER_S
+    return ControlRow(
+        "configuration",
+        "few watchers, pushed and announced between peers",
+        100.0 * core,
+        slopes.configuration_kb / KB_PER_MB,
+        slopes.configuration_bytes_per_s + changes_per_s * slopes.configuration_change_bytes,
+        f"{slopes.configuration_calls_per_s:g}/s in all",
+    )
+
+
+def _restart_row(size: Size, slopes: Slopes) -> ControlRow:
+    node_restarts_per_s = size.restarts_per_day / S_PER_DAY / size.nodes
+    return ControlRow(
+        "configuration of restarted nodes",
+        "a fresh node takes the whole value from a peer",
+        100.0 * node_restarts_per_s * slopes.configuration_apply_ms / MS_PER_S,
+        0.0,
+        2.0 * node_restarts_per_s * slopes.configuration_value_bytes,
+        "1 list each",
+    )
+
+
+def _memory_row(subject: str, mechanism: str, used_kb: float) -> ControlRow:
+    return ControlRow(subject, mechanism, 0.0, used_kb / KB_PER_MB, 0.0, "none")
+
+
+def path_rows_today(size: Size, slopes: Slopes) -> tuple[PathRow, ...]:
+    """Return the cost of a node's data path with what runs today."""
+    per_s = size.node_sub_requests_per_s
+    return (
+        PathRow("accepting", "klein", size.node_queries_per_s, slopes.front_us),
+        PathRow("admission", "fair queues", size.node_queries_per_s, slopes.admission_us),
+        PathRow("quarantine", "fingerprint and judgement", per_s, slopes.quarantine_us),
+        PathRow("fan-out, decisions", "charts over immutable maps", per_s, slopes.decision_us),
+        PathRow("fan-out, connections", "one request each", per_s, slopes.client_us),
+        PathRow("metrics", "one count a reply", per_s, slopes.metric_us),
+    )
+
+
+def path_rows_batched(size: Size, slopes: Slopes) -> tuple[PathRow, ...]:
+    """Return the cost with owners, relays and batches; sub-requests pay only their share."""
+    relayed = size.node_queries_per_s * size.relay_groups
+    batches = size.owned_targets * 1000.0 / size.batch_window_ms
+    per_s = size.node_sub_requests_per_s
+    return (
+        PathRow("accepting", "klein", size.node_queries_per_s, slopes.front_us),
+        PathRow("admission", "fair queues", size.node_queries_per_s, slopes.admission_us),
+        PathRow("relaying to owners", "one frame per owner and query", 2 * relayed, slopes.peer_us),
+        PathRow(
+            "relay batches", "frames between two nodes share a window", 2 * per_s, slopes.batch_us
+        ),
+        PathRow(
+            "fan-out, decisions", "per owner instead of per shard", relayed, slopes.decision_us
+        ),
+        PathRow("fan-out, connections", "one batch per target", batches, slopes.client_us),
+        PathRow("target batches", "sub-answers decoded", 2 * per_s, slopes.batch_us),
+        PathRow("metrics", "one count a batch", batches, slopes.metric_us),
+    )
+
+
+def render_slopes(slopes: Slopes) -> str:
+    """Return the table of the slopes."""
+    rows = [f"| `{item.name}` | {getattr(slopes, item.name):g} |" for item in fields(Slopes)]
+    return "\n".join(["| slope | measured |", "|---|---|", *rows])
+
+
+def render_control(size: Size, slopes: Slopes) -> str:
+    """Return the table of control costs with its sum and the bounds."""
+    rows = control_rows(size, slopes)
+    lines = [
+        "| subject | mechanism | % of a core | MB | bytes/s | store calls |",
+        "|---|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| {row.subject} | {row.mechanism} | {row.core_percent:.3f} | {row.memory_mb:.2f}"
+        f" | {row.bytes_per_s:.0f} | {row.store_calls} |"
+        for row in rows
+    ]
+    core_percent = sum(row.core_percent for row in rows)
+    memory_mb = sum(row.memory_mb for row in rows)
+    bytes_per_s = sum(row.bytes_per_s for row in rows)
+    lines.append(f"| **sum** | | {core_percent:.3f} | {memory_mb:.2f} | {bytes_per_s:.0f} | |")
+    lines.append(
+        f"| bound | | {CONTROL_CORE_PERCENT:g} | {CONTROL_MB:g} | {CONTROL_BYTES_PER_S:g} | |"
+    )
+    return "\n".join(lines)
+
+
+def render_path(rows: tuple[PathRow, ...]) -> str:
+    """Return a table of the data path of a node."""
+    lines = ["| role | mechanism | per s | us each | cores |", "|---|---|---|---|---|"]
+    lines += [
+        f"| {row.role} | {row.mechanism} | {row.per_s:,.0f} | {row.each_us:.2f}"
+        f" | {row.cores:.2f} |"
+        for row in rows
+    ]
+    lines.append(f"| **sum** | | | | {sum(row.cores for row in rows):.2f} |")
+    return "\n".join(lines)
+
+
+def render_tables(size: Size, slopes: Slopes) -> dict[str, str]:
+    """Return every table of the page by the name of its place."""
+    return {
+        "slopes": render_slopes(slopes),
+        "control": render_control(size, slopes),
+        "today": render_path(path_rows_today(size, slopes)),
+        "batched": render_path(path_rows_batched(size, slopes)),
+    }
+
+
+def read_slopes(page: str) -> Slopes:
+    """Return the slopes that a page states."""
+    table = _between(page, "slopes")
+    values: dict[str, float] = {}
+    for line in table.splitlines()[2:]:
+        _, name, value, _ = (cell.strip() for cell in line.split("|"))
+        values[name.strip("`")] = float(value)
+    return Slopes(**values)
+
+
+def write_tables(page: str, tables: Mapping[str, str]) -> str:
+    """Return the page with its tables replaced."""
+    for name, table in tables.items():
+        page = page.replace(_between(page, name), table)
+    return page
+
+
+def _between(page: str, name: str) -> str:
+    start, end = f"<!-- {name} -->\n", f"\n<!-- end {name} -->"
+    return page.partition(start)[2].partition(end)[0]
+
+
+def measure_slopes() -> Slopes:
+    """Run every bench and gather its slopes."""
+    values: dict[str, float] = {}
+    for bench in BENCHES:
+        ran = subprocess.run(
+            [sys.executable, "-m", f"benchmarks.{bench}"],
+            cwd=PAGE.parent.parent,
+            stdout=subprocess.PIPE,
+            check=True,
+        )
+        lines = ran.stdout.decode().splitlines()
+        slopes = json.decode(lines[-1])["slopes"]
+        print(f"{bench}: {slopes}", flush=True)
+        values |= slopes
+    return Slopes(**values)
+
+
+def main(write: bool = False) -> None:
+    """Measure every slope and print the tables.
+
+    Parameters
+    ----------
+    write : bool
+        Also put the tables into ``docs/CAPACITY.md``.
+    """
+    tables = render_tables(Size(), measure_slopes())
+    for name, table in tables.items():
+        print(f"\n{name}\n{table}")
+    if write:
+        page = PAGE.read_text(encoding="utf-8")
+        PAGE.write_text(write_tables(page, tables), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    Fire(main)
--- a/tests/guard.py
+++ b/tests/guard.py
@@ -1,8 +1,11 @@
 """What a guard and its proofs are."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
+from importlib import import_module
 from typing import Any
+from unittest.mock import patch
 
 
 @dataclass(frozen=True)
@@ -27,3 +30,33 @@
     attribute: str
     replacement: Callable[..., Any]
     proofs: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class SubjectGuard:
+    """One guard of a subject that has scenarios of its own as proofs.
+
+    Parameters
+    ----------
+    name, promise : str
+        What it does, and what must hold.
+    replaced : tuple of (str, object)
+        ``module.attribute`` within the subject's package, and what takes its place.
+    proofs : tuple of str
+        Names that the subject's ``run_proof`` takes; each must fail without the guard.
+    """
+
+    name: str
+    promise: str
+    replaced: tuple[tuple[str, object], ...]
+    proofs: tuple[str, ...]
+
+    @contextmanager
+    def taken_away(self, package: str) -> Iterator[None]:
+        """Run with the guard of the subject's package taken away."""
+        with ExitStack() as stack:
+            for path, replacement in self.replaced:
+                module, attribute = path.split(".")
+                target = import_module(f"{package}.{module}")
+                stack.enter_context(patch.object(target, attribute, replacement))
+            yield
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -7,7 +7,7 @@
 import contextlib
 import io
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from importlib import import_module
 from typing import Any
 from unittest.mock import patch
@@ -15,11 +15,12 @@
 import pytest
 
 from savoryarch.configuration.tests.guards import GUARDS as CONFIGURATION_GUARDS
-from savoryarch.configuration.tests.guards import Guard as ConfigurationGuard
-from savoryarch.configuration.tests.guards import run_proof
+from savoryarch.configuration.tests.guards import run_proof as run_configuration_proof
 from savoryarch.membership.tests.guards import GUARDS as MEMBERSHIP_GUARDS
 from savoryarch.model import PartReturned
-from tests.guard import Guard
+from savoryarch.orders.tests.guards import GUARDS as ORDERS_GUARDS
+from savoryarch.orders.tests.guards import run_proof as run_orders_proof
+from tests.guard import Guard, SubjectGuard
 
 TRACES = "tests/test_traces.py::test_trace_holds"
 SEARCHES = "savoryarch/search/tests/test_properties.py"
@@ -122,6 +123,11 @@
     ),
 )
 
+SUBJECTS = (
+    ("savoryarch.configuration", CONFIGURATION_GUARDS, run_configuration_proof),
+    ("savoryarch.orders", ORDERS_GUARDS, run_orders_proof),
+)
+
 
 @contextlib.contextmanager
 def taken_away(guard: Guard) -> Iterator[None]:
@@ -140,10 +146,10 @@
         return pytest.main(["--no-header", "--exitfirst", proof]) == pytest.ExitCode.TESTS_FAILED
 
 
-def catches_configuration(guard: ConfigurationGuard, proof: str) -> bool:
-    """Return whether the scenario fails without the guard of the configuration."""
+def fails(package: str, guard: SubjectGuard, run_proof: Callable[[str], None], proof: str) -> bool:
+    """Return whether a subject's own proof fails without the guard."""
     try:
-        with guard.taken_away():
+        with guard.taken_away(package):
             run_proof(proof)
     except (AssertionError, KeyError):
         return True
@@ -158,8 +164,9 @@
         for proof in guard.proofs
     ]
     rows += [
-        (guard.promise, guard.name, f"configuration: {proof}", catches_configuration(guard, proof))
-        for guard in CONFIGURATION_GUARDS
+        (guard.promise, guard.name, f"{package}: {proof}", fails(package, guard, run_proof, proof))
+        for package, guards, run_proof in SUBJECTS
+        for guard in guards
         for proof in guard.proofs
     ]
     for promise, name, proof, caught in rows:
