Survive long outages, and hand an outcome to each peer once

Cause: the pause after a failed call was doubled without end, which left the range of a float after 1,024 failures: 17 minutes of an outage with an outcome to record ended in an OverflowError. Change: at most 16 doublings; an outcome goes to each peer once and not with every failure; the write queue keeps its timer; a large limit on recorded bodies cannot take all the room of a bucket. Conclusion: an outage may last.

--- a/savoryarch/orders/_bucket.py
+++ b/savoryarch/orders/_bucket.py
@@ -44,6 +44,8 @@
 from savoryarch.orders._values import decode_bucket, encode_bucket
 from savoryarch.utils import in_order
 
+_MAX_DOUBLINGS = 16  # of the pause; more would leave the range of a float in a long outage
+
 Action = Callable[[Turn, Bucket, object], Turn]
 
 
@@ -255,9 +257,8 @@
 def _forget_recorded(turn: Turn, bucket: Bucket) -> tuple[Turn, Bucket]:
     settled = bucket.settled
     for claimant, item in in_order(settled):
-        if is_settled(bucket.value, item.claim, turn.state.settings) and not _is_stale(
-            bucket, item
-        ):
+        recorded = is_settled(bucket.value, item.claim, turn.state.settings)
+        if recorded and not _is_stale(bucket, item):
             settled = settled.delete(claimant)
             if item.from_peer:
                 turn = turn.post(item.from_peer, TellRecorded(claimant))
@@ -338,7 +339,8 @@
 def _back_off(turn: Turn, bucket: Bucket, cause: object) -> Turn:
     """Pause before the next call; after several failures the waiting claims are refused."""
     settings = turn.state.settings
-    pause_ms = min(settings.back_off_limit_ms, settings.back_off_ms * 2**bucket.failures)
+    doublings = min(bucket.failures, _MAX_DOUBLINGS)
+    pause_ms = min(settings.back_off_limit_ms, settings.back_off_ms * 2**doublings)
     bucket = replace(bucket, failures=bucket.failures + 1, swapping=None)
     turn = turn.emit(
         SetTimer(f"orders/bucket/{bucket.number}", turn.now_ms + pause_ms),
@@ -346,7 +348,7 @@
             "claim_bucket_failed", (("bucket", str(bucket.number)), ("detail", str(cause)[:200]))
         ),
     )
-    turn = _hand_over_settled(turn, bucket)
+    turn, bucket = _hand_over_settled(turn, bucket)
     if bucket.failures < _allowed_failures(turn):
         return turn.put_bucket(bucket)
     for _, item in in_order(bucket.submitted):
@@ -355,16 +357,15 @@
     return turn.put_bucket(replace(bucket, submitted=_NO_CLAIMS))
 
 
-def _hand_over_settled(turn: Turn, bucket: Bucket) -> Turn:
-    """Ask one peer, another after each failure, to record the outcomes of this instance too."""
-    state = turn.state
-    if not (state.settings.relays_claims and state.live):
-        return turn
-    peer_id = state.live[bucket.failures % len(state.live)]
-    for _, item in in_order(bucket.settled):
-        if not item.from_peer:
-            turn = turn.post(peer_id, SettleClaim(item.claim))
-    return turn
+def _hand_over_settled(turn: Turn, bucket: Bucket) -> tuple[Turn, Bucket]:
+    """Ask each peer once, one after each failure, to record the outcomes of this instance too."""
+    live = turn.state.live if turn.state.settings.relays_claims else ()
+    settled = bucket.settled
+    for claimant, item in in_order(settled):
+        if not item.from_peer and item.handed_over < len(live):
+            turn = turn.post(live[item.handed_over], SettleClaim(item.claim))
+            settled = settled.set(claimant, replace(item, handed_over=item.handed_over + 1))
+    return turn, replace(bucket, settled=settled)
 
 
 def _next_call(turn: Turn, bucket: Bucket) -> tuple[Turn, str]:
--- a/savoryarch/orders/_claims.py
+++ b/savoryarch/orders/_claims.py
@@ -27,6 +27,7 @@
 DIGEST_BYTES = 16
 FINGERPRINT_BYTES = 8
 ROW_BYTES = 64  # of an encoded claim, beyond its texts
+_LARGEST_PART = 8  # of a bucket's size, which one new claim may ask for
 _FULL_SHARE = 0.75  # of the size limit, kept when old claims are dropped
 
 
@@ -247,8 +248,9 @@
 
 
 def has_room(value: BucketValue, claim: Claim, settings: OrdersSettings) -> bool:
-    """Return whether a claim fits, together with the largest outcome that is recorded."""
-    needed_bytes = claim_bytes(claim) + settings.recorded_body_bytes
+    """Return whether a claim fits, together with an outcome."""
+    body_bytes = min(settings.recorded_body_bytes, settings.bucket_bytes // _LARGEST_PART)
+    needed_bytes = claim_bytes(claim) + body_bytes
     return value.size_bytes + needed_bytes <= settings.bucket_bytes
 
 
--- a/savoryarch/orders/_pace.py
+++ b/savoryarch/orders/_pace.py
@@ -17,11 +17,12 @@
         number = _next_in_queue(turn)
         turn = turn.change(queue=tuple(item for item in turn.state.queue if item != number))
         turn = step_bucket(turn, turn.state.buckets[number], "turn")
-    if not turn.state.queue:
+    if not turn.state.queue or turn.state.turn_at_ms > turn.now_ms:
         return turn
     pause_ms = (1.0 - turn.state.write_tokens) * _MS_PER_S / _writes_per_s(turn)
     # A pause that is lost in rounding would fire for ever at the same time.
-    return turn.emit(SetTimer("orders/turn", turn.now_ms + max(pause_ms, _SHORTEST_PAUSE_MS)))
+    due_at_ms = turn.now_ms + max(pause_ms, _SHORTEST_PAUSE_MS)
+    return turn.change(turn_at_ms=due_at_ms).emit(SetTimer("orders/turn", due_at_ms))
 
 
 def _next_in_queue(turn: Turn) -> int:
--- a/savoryarch/orders/_state.py
+++ b/savoryarch/orders/_state.py
@@ -92,12 +92,15 @@
         The peer to be told when it is recorded; empty for none.
     after_call : int
         Store calls of the instance before it was submitted.
+    handed_over : int
+        Peers that were asked to record it, because this instance does not reach the store.
     """
 
     claim: Claim
     request_id: str = ""
     from_peer: str = ""
     after_call: int = 0
+    handed_over: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,6 +183,8 @@
         Buckets that wait for their turn to be written.
     write_tokens, refilled_at_ms : float, float
         What is left of the write rate.
+    turn_at_ms : float
+        When the queue is served next.
     outboxes : Map
         Messages to peers that wait to share a frame.
     closed_outboxes : frozenset of str
@@ -202,6 +207,7 @@
     queue: tuple[int, ...] = ()
     write_tokens: float = 0.0
     refilled_at_ms: float = float("-inf")
+    turn_at_ms: float = float("-inf")
     outboxes: Map[str, tuple[ClaimMessage, ...]] = field(default_factory=Map)
     closed_outboxes: frozenset[str] = frozenset()
     sequence: int = 0
--- a/savoryarch/orders/tests/test_scenarios.py
+++ b/savoryarch/orders/tests/test_scenarios.py
@@ -241,6 +241,12 @@
         1,
         outage(9, 2000),
     ),
+    Scenario(
+        "the store is down for twenty minutes after the send",
+        (Ask(0, "a", "done"), Ask(1_203_000, "b", "recorded")),
+        1,
+        outage(9, 1_200_000),
+    ),
     Scenario(
         "the store is slower than its timeout",
         (Ask(0, "a", "not_run store_unavailable"), Ask(100, "b", "refused store_unavailable")),
