--- a/savoryarch/targets/tests/test_limits.py
+++ b/savoryarch/targets/tests/test_limits.py
@@ -105,7 +105,9 @@
     now_ms = back[-1][0] + 1.0
     state = begin_attempt(state, chosen(state, now_ms), now_ms)
     assert chosen(state, now_ms) is None
-    assert in_flight_limit(state.records["t"], state.uses["t"], now_ms + 2000.0) == 1
+    state = run_attempts(state, [RETURNED] * 20, start_ms=now_ms)
+    assert in_flight_limit(state.records["t"], state.uses["t"], now_ms + 200.0) == 1
+    assert in_flight_limit(state.records["t"], state.uses["t"], now_ms + 2000.0) > 1
 
 
 def teach(state, target_id, latency_ms, count=30, now_ms=100.0):
