Let shards wait for targets whose connection has just closed

Cause: a target whose connection closed counted as not serving, so that a short cut towards all replicas of a shard left the shard out though they were back within milliseconds. Change: work may wait for a target in doubt; a failed probe ends the doubt and calls it lost.

--- a/savoryarch/search/tests/test_failures.py
+++ b/savoryarch/search/tests/test_failures.py
@@ -10,8 +10,10 @@
     NotSent,
     PartReturned,
     Shed,
+    Sign,
     SnapshotNotServed,
     TargetFailed,
+    TargetSigned,
 )
 from savoryarch.quarantine import QuarantineSettings
 from savoryarch.search.tests.driver import NEW, OLD, Driver, declare, returned
@@ -101,3 +103,18 @@
     driver.ask()
     driver.run()
     assert hasattr(driver.outcome(), "not_run") is refused
+
+
+@pytest.mark.parametrize(("heard_again", "answered"), [(True, 3), (False, 2)])
+def test_a_shard_whose_targets_are_all_in_doubt_waits_for_the_next_sign(heard_again, answered):
+    driver = Driver()
+    doubted = [f"balcao-00-{zone}" for zone in "abc"]
+    driver.probe_snapshots = lambda target_id: ()
+    for target_id in doubted:
+        driver.offer(TargetSigned(target_id, Sign.CONNECTION_CLOSED))
+    driver.ask()
+    sign = Sign.PROBE_ANSWERED if heard_again else Sign.PROBE_FAILED
+    for target_id in doubted:
+        driver.at(driver.now_ms + 4.0, TargetSigned(target_id, sign, (OLD, NEW)))
+    driver.run(until_ms=60.0)
+    assert driver.outcome().coverage.answered == answered
--- a/savoryarch/targets/_choose.py
+++ b/savoryarch/targets/_choose.py
@@ -2,7 +2,7 @@
 
 from savoryarch.model import SnapshotId
 from savoryarch.targets._latency import expected_latency_ms
-from savoryarch.targets._life import LIVE
+from savoryarch.targets._life import LIVE, may_serve
 from savoryarch.targets._limits import in_flight_limit, is_suspect
 from savoryarch.targets._settings import LeastExpectedLatency, RoundRobin
 from savoryarch.targets._state import TargetRecord, TargetsState, TargetUse
@@ -95,14 +95,14 @@
 def can_serve(
     state: TargetsState, service: str, exclude: frozenset[str], snapshot: SnapshotId | None
 ) -> bool:
-    """Return whether a live target outside of `exclude` serves the snapshot, room or not."""
+    """Return whether a target outside of `exclude` serves the snapshot, room or not."""
     declared = state.services.get(service)
     if declared is None:
         return False
+    records = [state.records[name] for name in declared.target_ids if name not in exclude]
     return any(
-        _is_usable(state.records[target_id], snapshot)
-        for target_id in declared.target_ids
-        if target_id not in exclude
+        may_serve(record) and (snapshot is None or snapshot in record.snapshots)
+        for record in records
     )
 
 
--- a/savoryarch/targets/_decide.py
+++ b/savoryarch/targets/_decide.py
@@ -24,7 +24,7 @@
     TargetSigned,
     TimerFired,
 )
-from savoryarch.targets._life import DRAINING, LIVE, Lived, apply_sign, put_record
+from savoryarch.targets._life import DRAINING, LIVE, Lived, apply_sign, may_serve, put_record
 from savoryarch.targets._limits import connection_share, first_limit
 from savoryarch.targets._state import ServiceRecord, TargetRecord, TargetsState, TargetUse
 from savoryarch.utils import in_order
@@ -116,7 +116,7 @@
     served: dict[SnapshotId, int] = {}
     for target in service.targets:
         record = records[target.target_id]
-        for snapshot in record.snapshots if record.life == LIVE else ():
+        for snapshot in record.snapshots if may_serve(record) else ():
             served[snapshot] = served.get(snapshot, 0) + 1
     old = state.services.get(service.name, ServiceRecord(()))
     target_ids = tuple(target.target_id for target in service.targets)
--- a/savoryarch/targets/_life.py
+++ b/savoryarch/targets/_life.py
@@ -10,6 +10,7 @@
 from savoryarch.targets._state import ServiceRecord, TargetRecord, TargetsState
 
 LIVE = "live"
+DOUBTED = "doubted"
 DRAINING = "draining"
 
 CHART = load_chart("target", frozenset({"start_warm_up", "note_negative", "probe"}))
@@ -93,7 +94,12 @@
 
 
 def _serves(record: TargetRecord) -> frozenset[SnapshotId]:
-    return record.snapshots if record.life == LIVE else frozenset()
+    return record.snapshots if may_serve(record) else frozenset()
+
+
+def may_serve(record: TargetRecord) -> bool:
+    """Return whether work may wait for the target: it is live, or it will soon be known."""
+    return record.life in (LIVE, DOUBTED)
 
 
 def _recount(
