Let suspects of one crash run without turns

Cause: turns of 25 ms made a lost shard wait past its deadline, and a test of the extra-load budget (test_hedges_and_retries_share_one_budget) then found one attempt too many, since shards that were never sent had earned budget too.

--- a/savoryarch/quarantine/__init__.py
+++ b/savoryarch/quarantine/__init__.py
@@ -14,7 +14,7 @@
 
 A request in flight on a target when it crashes becomes a suspect at that service. Each crash there
 counts against it and each reply from there for it. A suspect (more crashes than replies) runs one
-attempt at a time, alone on its target and in turn, until a reply clears it; two crashes more than
+attempt at a time, alone on its target, until a reply clears it; two crashes more than
 replies quarantine it here and, by `QuarantineDeclared`, at every peer. So an innocent request
 beside it is cleared by its next reply, and the hot one that is always in flight has had replies
 before. If a suspect is in flight on a target that crashes, it explains the crash and nobody else is
--- a/savoryarch/quarantine/_decide.py
+++ b/savoryarch/quarantine/_decide.py
@@ -74,8 +74,7 @@
     """Return whether an attempt may go to a target now.
 
     A suspect runs one attempt at a time, where nothing of this instance runs beside it, and at the
-    services that it is suspected of crashing first. The suspects of one crash take turns there, by
-    their fingerprints, so that other instances don't run another one beside it.
+    services that it is suspected of crashing first.
     """
     record = state.records.get(fingerprint)
     if record is None:
@@ -86,8 +85,7 @@
         return Clear()
     mark = record.marks.get(service, _NO_MARK)
     is_alone = not state.running.get(fingerprint) and not state.in_flight.get(target_id)
-    is_probe = mark.crashes > mark.clean and _is_its_turn(state, fingerprint, mark, now_ms)
-    return Clear() if is_alone and is_probe else Alone()
+    return Clear() if is_alone and mark.crashes > mark.clean else Alone()
 
 
 def note_started(
@@ -254,12 +252,6 @@
     return replace(state, records=state.records.set(fingerprint, record))
 
 
-def _is_its_turn(state: QuarantineState, fingerprint: str, mark: Mark, now_ms: float) -> bool:
-    slots = state.settings.probe_slots
-    turn = int((now_ms - mark.at_ms) / state.settings.probe_slot_ms) % slots
-    return turn == int.from_bytes(fingerprint.encode()) % slots
-
-
 def _deserves_quarantine(state: QuarantineState, mark: Mark) -> bool:
     return mark.crashes - mark.clean >= state.settings.crashes
 
--- a/savoryarch/quarantine/_settings.py
+++ b/savoryarch/quarantine/_settings.py
@@ -17,10 +17,6 @@
     same_crash_ms: float = setting(
         Number(0, 60_000), "Losses of a target this close together are one crash.", 200.0
     )
-    probe_slots: int = setting(
-        Number(1, 1000, whole=True), "Suspects of one crash are tried again in so many turns.", 4
-    )
-    probe_slot_ms: float = setting(Number(1, 60_000), "Length of such a turn.", 25.0)
     suspicion_ms: float = setting(
         Number(0, 86_400_000), "How long a request is remembered as a suspect.", 60_000.0
     )
