--- a/savoryarch/orders/_bucket.py
+++ b/savoryarch/orders/_bucket.py
@@ -36,8 +36,10 @@
     is_free,
     is_settled,
     is_superseded,
+    lost_claims,
     resolve,
 )
+from savoryarch.orders._ownership import owner_of
 from savoryarch.orders._state import Bucket, Settled, Turn
 from savoryarch.orders._values import decode_bucket, encode_bucket
 from savoryarch.utils import in_order
@@ -133,7 +135,9 @@
 
 def decide_timer(turn: Turn, number: int) -> Turn:
     """Decide on the timer of a bucket: look again, try again or write what waited."""
-    bucket = turn.state.buckets[number]
+    bucket = turn.state.buckets.get(number)
+    if bucket is None:
+        return turn
     if _CHART.accepts(bucket.state, "retry_due"):
         has_work = bool(bucket.submitted or bucket.settled)
         return step_bucket(turn, bucket, "retry_due" if has_work else "nothing_due")
@@ -184,6 +188,8 @@
 
 
 def _take_value(turn: Turn, bucket: Bucket, value: BucketValue, revision: int) -> Turn:
+    if revision < bucket.revision:
+        turn, bucket = _keep_lost_claims(turn, bucket, value)
     bucket = replace(
         bucket,
         value=value,
@@ -194,6 +200,18 @@
     return step_bucket(turn, bucket, "value_read")
 
 
+def _keep_lost_claims(turn: Turn, bucket: Bucket, restored: BucketValue) -> tuple[Turn, Bucket]:
+    """Write again what a store that went back to an older revision has lost."""
+    lost = lost_claims(bucket.value, restored, turn.state.settings)
+    settled = bucket.settled
+    for claim in lost:
+        if claim.claimant not in settled:
+            settled = settled.set(claim.claimant, Settled(claim))
+    fields = (("bucket", str(bucket.number)), ("lost_claims", str(len(lost))))
+    turn = turn.emit(LogEvent("claim_bucket_restored", fields))
+    return turn, replace(bucket, settled=settled, settle_at_ms=turn.now_ms)
+
+
 def _resolve(turn: Turn, bucket: Bucket, cause: object) -> Turn:
     """Tell the claims that came to something, and see what is left to write."""
     settings = turn.state.settings
@@ -273,7 +291,8 @@
     due_at_ms = [turn.now_ms + turn.state.settings.held_poll_ms] if held else []
     due_at_ms += [bucket.settle_at_ms] if bucket.settled else []
     if not due_at_ms:
-        return turn
+        is_owner = owner_of(turn.state, bucket.number) == turn.state.instance_id
+        return turn if is_owner else step_bucket(turn, bucket, "idle")
     return turn.emit(SetTimer(f"orders/bucket/{bucket.number}", min(due_at_ms)))
 
 
@@ -311,6 +330,11 @@
     return turn.put_bucket(bucket)
 
 
+def _forget(turn: Turn, bucket: Bucket, cause: object) -> Turn:
+    # Only owners keep values, which would otherwise add up to every claim at every instance.
+    return turn.change(buckets=turn.state.buckets.delete(bucket.number))
+
+
 def _back_off(turn: Turn, bucket: Bucket, cause: object) -> Turn:
     """Pause before the next call; after several failures the waiting claims are refused."""
     settings = turn.state.settings
@@ -357,6 +381,7 @@
     {
         "adopt": _adopt,
         "back_off": _back_off,
+        "forget": _forget,
         "join_queue": _join_queue,
         "read": _read,
         "resolve": _resolve,
