--- a/benchmarks/bench_configuration.py
+++ b/benchmarks/bench_configuration.py
@@ -292,21 +292,10 @@
         )
 
 
-def main(arguments: list[str]) -> None:
-    seed = int(arguments[arguments.index("--seed") + 1]) if "--seed" in arguments else 1
-    sizes = SIZES if "--small" in arguments else (*SIZES, LARGE_SIZE)
-    cost = measure_record()
-    rows = [measure(size, seed) for size in sizes]
-    report(rows)
-    baseline_calls = measure_baseline(SIZES[-1], seed)
-    print(
-        f"{TARGETS} targets: {cost.value_bytes} bytes in the store, encoded in "
-        f"{cost.encode_ms:.0f} ms, decoded in {cost.decode_ms:.0f} ms, checked in "
-        f"{cost.check_ms:.0f} ms; one service changed: {cost.delta_bytes} bytes"
-    )
+def make_goals(rows: list[Measured], cost: RecordCost, baseline_calls: float) -> list[dict]:
     small = rows[0].store_calls_per_s
     growth = max(row.store_calls_per_s for row in rows) / small
-    goals = [
+    return [
         goal(
             "in force everywhere, calm, p99",
             max(r.calm.at(0.99) for r in rows),
@@ -338,8 +327,10 @@
         ),
         goal("value of 5,700 targets", cost.value_bytes, VALUE_BOUND_BYTES, "B", None),
     ]
-    last = rows[-1]
-    slopes = {
+
+
+def make_slopes(last: Measured, cost: RecordCost) -> dict[str, float]:
+    return {
         "configuration_bytes_per_s": round(last.idle_bytes_per_s, 1),
         "configuration_change_bytes": round(last.change_bytes, 1),
         "configuration_calls_per_s": round(last.store_calls_per_s, 2),
@@ -347,6 +338,22 @@
         "configuration_apply_ms": round(cost.decode_ms + cost.check_ms, 1),
         "configuration_value_bytes": cost.value_bytes,
     }
+
+
+def main(arguments: list[str]) -> None:
+    seed = int(arguments[arguments.index("--seed") + 1]) if "--seed" in arguments else 1
+    sizes = SIZES if "--small" in arguments else (*SIZES, LARGE_SIZE)
+    cost = measure_record()
+    rows = [measure(size, seed) for size in sizes]
+    report(rows)
+    baseline_calls = measure_baseline(SIZES[-1], seed)
+    print(
+        f"{TARGETS} targets: {cost.value_bytes} bytes in the store, encoded in "
+        f"{cost.encode_ms:.0f} ms, decoded in {cost.decode_ms:.0f} ms, checked in "
+        f"{cost.check_ms:.0f} ms; one service changed: {cost.delta_bytes} bytes"
+    )
+    goals = make_goals(rows, cost, baseline_calls)
+    slopes = make_slopes(rows[-1], cost)
     print(json.encode({"goals": goals, "slopes": slopes}).decode())
 
 
