--- a/benchmarks/bench_configuration.py
+++ b/benchmarks/bench_configuration.py
@@ -329,6 +329,17 @@
     ]
 
 
+def make_slopes(last: Measured, cost: RecordCost) -> dict[str, float]:
+    return {
+        "configuration_bytes_per_s": round(last.idle_bytes_per_s, 1),
+        "configuration_change_bytes": round(last.change_bytes, 1),
+        "configuration_calls_per_s": round(last.store_calls_per_s, 2),
+        "configuration_p99_ms": round(last.calm.at(0.99), 1),
+        "configuration_apply_ms": round(cost.decode_ms + cost.check_ms, 1),
+        "configuration_value_bytes": cost.value_bytes,
+    }
+
+
 def main(arguments: list[str]) -> None:
     seed = int(arguments[arguments.index("--seed") + 1]) if "--seed" in arguments else 1
     sizes = SIZES if "--small" in arguments else (*SIZES, LARGE_SIZE)
@@ -342,15 +353,7 @@
         f"{cost.check_ms:.0f} ms; one service changed: {cost.delta_bytes} bytes"
     )
     goals = make_goals(rows, cost, baseline_calls)
-    last = rows[-1]
-    slopes = {
-        "configuration_bytes_per_s": round(last.idle_bytes_per_s, 1),
-        "configuration_change_bytes": round(last.change_bytes, 1),
-        "configuration_calls_per_s": round(last.store_calls_per_s, 2),
-        "configuration_p99_ms": round(last.calm.at(0.99), 1),
-        "configuration_apply_ms": round(cost.decode_ms + cost.check_ms, 1),
-        "configuration_value_bytes": cost.value_bytes,
-    }
+    slopes = make_slopes(rows[-1], cost)
     print(json.encode({"goals": goals, "slopes": slopes}).decode())
 
 
