--- a/savoryarch_standins/harness/_process.py
+++ b/savoryarch_standins/harness/_process.py
@@ -78,21 +78,24 @@
 
     def wait_for_exit(self, timeout_s: float) -> int:
         """Wait for the end of the process; returns its exit code."""
-        return self._process.wait(timeout_s)
+        exit_code = self._process.wait(timeout_s)
+        if self._process.stdout is not None:
+            self._process.stdout.close()
+        return exit_code
 
     def stop(self, timeout_s: float = KILL_TIMEOUT_S) -> int:
         """Ask the process to end, kill it after the timeout; returns its exit code."""
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal.SIGTERM)
         try:
-            return self._process.wait(timeout_s)
+            return self.wait_for_exit(timeout_s)
         except subprocess.TimeoutExpired:
             return self.kill()
 
     def kill(self) -> int:
         """Kill the process; returns its exit code."""
         self.send_signal(signal.SIGKILL)
-        return self._process.wait(KILL_TIMEOUT_S)
+        return self.wait_for_exit(KILL_TIMEOUT_S)
 
     def log_tail(self, lines: int = 20) -> str:
         """Return the last lines of its standard error."""
