--- a/benchmarks/bench_configuration.py
+++ b/benchmarks/bench_configuration.py
@@ -329,26 +329,8 @@
     ]
 
 
-<<<<<<< HEAD
 def make_slopes(last: Measured, cost: RecordCost) -> dict[str, float]:
     return {
-=======
-def main(arguments: list[str]) -> None:
-    seed = int(arguments[arguments.index("--seed") + 1]) if "--seed" in arguments else 1
-    sizes = SIZES if "--small" in arguments else (*SIZES, LARGE_SIZE)
-    cost = measure_record()
-    rows = [measure(size, seed) for size in sizes]
-    report(rows)
-    baseline_calls = measure_baseline(SIZES[-1], seed)
-    print(
-        f"{TARGETS} targets: {cost.value_bytes} bytes in the store, encoded in "
-        f"{cost.encode_ms:.0f} ms, decoded in {cost.decode_ms:.0f} ms, checked in "
-        f"{cost.check_ms:.0f} ms; one service changed: {cost.delta_bytes} bytes"
-    )
-    goals = make_goals(rows, cost, baseline_calls)
-    last = rows[-1]
-    slopes = {
->>>>>>> main
         "configuration_bytes_per_s": round(last.idle_bytes_per_s, 1),
         "configuration_change_bytes": round(last.change_bytes, 1),
         "configuration_calls_per_s": round(last.store_calls_per_s, 2),
