--- a/savoryarch/codec/_target_http.py
+++ b/savoryarch/codec/_target_http.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import lru_cache
 from urllib.parse import quote
 
 from httptools import HttpParserError, HttpResponseParser
@@ -27,6 +28,12 @@
 )
 
 MAX_REPLY_BYTES = 16 * 1024 * 1024
+_READ_HEADERS = {name.encode(): name for name in ("x-request-id", "x-snapshots", "x-load")}
+_READ_HEADERS |= {
+    b"X-Request-Id": "x-request-id",
+    b"X-Snapshots": "x-snapshots",
+    b"X-Load": "x-load",
+}
 _HEADER_SAFE = "!#$&'()*+,/:;=?@[]^`{|}~<> \"\\"
 
 
@@ -164,6 +171,7 @@
         return _RefusalBody()
 
 
+@lru_cache(maxsize=4096)
 def _read_snapshots(text: str) -> tuple[SnapshotId, ...]:
     return tuple(_read_snapshot(word) for word in text.split(",") if word.strip())
 
@@ -232,7 +240,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header; called by the parser."""
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        known = _READ_HEADERS.get(name) or _READ_HEADERS.get(name.lower())
+        if known:
+            self._headers[known] = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
         """Take a piece of the body; called by the parser."""
--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.protocol import Protocol as TwistedProtocol
 
-from savoryarch.charts import load_chart, make_machine
+from savoryarch.charts import load_chart
 from savoryarch.codec import HttpReply, HttpReplyParser
 from savoryarch.exceptions import CodecError
 from savoryarch.model import AttemptReply, ConnectionLost, MalformedReply, Sign
@@ -29,6 +29,9 @@
 )
 
 
+CHART = load_chart("connection", ACTIONS)
+
+
 class Exchange(Protocol):
     """One request on a connection, and who wants its reply."""
 
@@ -80,7 +83,7 @@
         self._grace: Any = None
         self._closed = False
         self._reported = False
-        self._machine = make_machine(load_chart("connection", ACTIONS), self._perform)
+        self._state = CHART.initial
         self._actions: dict[str, Callable[[], None]] = {
             name: getattr(self, f"_{name}") for name in ACTIONS
         }
@@ -88,21 +91,21 @@
     def assign(self, exchange: Exchange) -> None:
         """Send a request on this idle connection."""
         self._exchange = exchange
-        self._machine.assigned()
+        self._step("assigned")
 
     def abandon(self) -> None:
         """Stop wanting the outstanding reply; it is read and dropped, or the connection closed."""
         self._exchange = None
-        self._machine.abandoned()
+        self._step("abandoned")
 
     def retire(self) -> None:
         """Close this idle connection."""
-        self._machine.retired()
+        self._step("retired")
 
     def connect_failed(self) -> None:
         """Note that the connection could not be opened."""
         if not self._closed:
-            self._machine.lost()
+            self._step("lost")
         self._tell_closed(None)
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -111,7 +114,7 @@
             self._close()
             return
         self.transport.setTcpNoDelay(True)
-        self._machine.connected()
+        self._step("connected")
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take bytes from the target; called by Twisted."""
@@ -131,15 +134,15 @@
                 return
             self._reply = reply
             if reply.keep_alive:
-                self._machine.replied()
+                self._step("replied")
             else:
-                self._machine.replied_last()
+                self._step("replied_last")
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Note the end of the connection; called by Twisted."""
         if not self._closed:
             self._doubt = reason.getErrorMessage() if reason else "lost"
-            self._machine.lost()
+            self._step("lost")
         self._tell_closed(None)
 
     def _is_idle(self) -> bool:
@@ -148,10 +151,14 @@
     def _enter_doubt(self, detail: str) -> None:
         self._doubt = detail
         if not self._closed:
-            self._machine.in_doubt()
+            self._step("in_doubt")
 
-    def _perform(self, action: str) -> None:
-        self._actions[action]()
+    def _step(self, event: str) -> None:
+        transition = CHART.step(self._state, event)
+        # An action may step the chart again, so that the state comes first.
+        self._state = transition.next_state
+        for action in transition.actions:
+            self._actions[action]()
 
     def _write_request(self) -> None:
         assert self._exchange is not None
@@ -204,7 +211,7 @@
 
     def _end_grace(self) -> None:
         self._grace = None
-        self._machine.grace_over()
+        self._step("grace_over")
 
     def _stop_grace(self) -> None:
         if self._grace is not None:
