--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -1,33 +1,20 @@
-"""Runs one entry instance as a process."""
+"""Runs one entry instance as a process, along the chart ``process.ini``."""
 
 import signal
-from collections.abc import Callable
-from functools import partial
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
-from twisted.internet.defer import DeferredList
-from twisted.web.server import Site
 
-from savoryarch import model
-from savoryarch.api import make_operator_app
-from savoryarch.codec import make_message_codec
+from savoryarch.charts import load_chart, make_machine
 from savoryarch.entry._caller_front import make_caller_app
 from savoryarch.entry._caller_site import CallerSite
-from savoryarch.entry._instance import EntryInstance
-from savoryarch.entry._instance_list import InstanceListClient
 from savoryarch.entry._log import log_event, start_log
-from savoryarch.entry._metrics import Metrics
-from savoryarch.entry._no_platform import AbsentInstanceList, AbsentStore
+from savoryarch.entry._wiring import listen_operators, make_instance
 from savoryarch.model import Started, StopAsked
-from savoryarch.peers import PeerCounts, PeerTransport
-from savoryarch.resources import RECORD_CODEC
 from savoryarch.settings import Settings
-from savoryarch.store import StoreClient, StoreSettings
-from savoryarch.tier import SUBJECT_MESSAGES, TierSettings, make_tier_state
-from savoryarch.utils import make_system_clock, make_wall_clock
 
 DRAIN_TIMEOUT_S = 5.0  # for callers that read their last reply slowly
+NO_DECISION_EXIT_CODE = 1
 
 reactor: Any = default_reactor
 
@@ -50,115 +37,68 @@
     Writes one line ``ready callers=HOST:PORT operators=HOST:PORT peers=HOST:PORT`` to standard
     output once it listens.
     """
-    exit_codes: list[int] = []
-    sites: list[CallerSite] = []
+    start_log(settings.log.level.value, settings.instance.instance_id)
+    return EntryProcess(settings).run()
 
-    def exit_process(exit_code: int) -> None:
-        exit_codes.append(exit_code)
-        # The last replies are still being written when the decision to exit is carried out.
-        reactor.callLater(0, _drain_and_stop, sites)
 
-    start_log(settings.log.level.value, settings.instance.instance_id)
-    instance = _make_instance(settings, exit_process)
-    sites.append(CallerSite(make_caller_app(instance).resource(), reactor, instance.count_refusal))
-    ports = _listen(settings, instance, sites[0])
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: reactor.callFromThread(instance.feed, StopAsked()))
-    reactor.callWhenRunning(_start, settings, instance, ports)
-    reactor.run(installSignalHandlers=False)
-    return exit_codes[0] if exit_codes else 1
-
-
-def _make_instance(settings: Settings, exit_process: Any) -> EntryInstance:
-    incarnation = int(make_wall_clock().now_ms())
-    clock = make_system_clock()
-    metrics = Metrics()
-
-    def hear(peer_id: str, message: object) -> None:
-        instance.hear(peer_id, message)
-
-    peers = _make_peers(settings, incarnation, hear, metrics)
-    tier_settings = TierSettings(
-        instance_id=settings.instance.instance_id,
-        availability_zone=settings.instance.availability_zone,
-        incarnation=incarnation,
-        targets=settings.targets,
-        search=settings.search,
-        admission=settings.admission,
-        quarantine=settings.quarantine,
-        orders=settings.orders,
-        configuration=settings.configuration,
-        membership=settings.membership,
-        shutdown=settings.shutdown,
-        peer_host=settings.peers.host,
-        peer_port=peers.port,
-    )
-    state = make_tier_state(tier_settings, RECORD_CODEC)
-    instance = EntryInstance(state, reactor, clock, metrics, exit_process)
-    instance.peers = peers
-    platform = settings.platform
-    instance.store = (
-        StoreClient(StoreSettings(url=platform.store_url), reactor)
-        if platform.store_url
-        else AbsentStore()
-    )
-    instance.instance_list = (
-        InstanceListClient(platform.instance_list_url, reactor)
-        if platform.instance_list_url
-        else AbsentInstanceList()
-    )
-    return instance
-
-
-def _make_peers(
-    settings: Settings,
-    incarnation: int,
-    hear: Callable[[str, object], None],
-    metrics: Metrics,
-) -> PeerTransport:
-    codec = make_message_codec(model, *SUBJECT_MESSAGES)
-    counts = PeerCounts(
-        sent=partial(metrics.count, "peer_bytes", "sent"),
-        received=partial(metrics.count, "peer_bytes", "received"),
-        dropped=partial(metrics.count, "peer_drops"),
-    )
-    return PeerTransport(
-        reactor,
-        settings.peers.host,
-        settings.peers.port,
-        settings.instance.instance_id,
-        incarnation,
-        hear,
-        codec.encode_frame,
-        codec.decode_frame,
-        counts,
-    )
-
-
-def _drain_and_stop(sites: list[CallerSite]) -> None:
-    drained = DeferredList([site.drain() for site in sites])
-    drained.addTimeout(DRAIN_TIMEOUT_S, reactor).addBoth(lambda _: reactor.stop())
-
-
-def _listen(settings: Settings, instance: EntryInstance, callers: CallerSite) -> dict[str, Any]:
-    operators = Site(make_operator_app(instance).resource())
-    operators.displayTracebacks = False
-    return {
-        "callers": reactor.listenTCP(
-            settings.callers.port, callers, interface=settings.callers.host
-        ),
-        "operators": reactor.listenTCP(
-            settings.operators.port, operators, interface=settings.operators.host
-        ),
-    }
-
-
-def _start(settings: Settings, instance: EntryInstance, ports: dict[str, Any]) -> None:
-    tier = instance.state.settings
-    instance.feed(Started(tier.instance_id, tier.availability_zone, tier.incarnation))
-    addresses = {
-        name: f"{port.getHost().host}:{port.getHost().port}" for name, port in ports.items()
-    }
-    addresses["peers"] = f"{tier.peer_host}:{tier.peer_port}"
-    log_event("started", tuple(addresses.items()))
-    print("ready " + " ".join(f"{name}={at}" for name, at in addresses.items()), flush=True)
+class EntryProcess:
+    """The process around an entry instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        The checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._exit_code = NO_DECISION_EXIT_CODE
+        self._life = make_machine(load_chart("process", ACTIONS), self._perform)
+        self._instance = make_instance(settings, reactor, self._exit)
+        self._site = CallerSite(
+            make_caller_app(self._instance).resource(), reactor, self._instance.count_refusal
+        )
+        self._ports = {
+            "callers": reactor.listenTCP(
+                settings.callers.port, self._site, interface=settings.callers.host
+            ),
+            "operators": listen_operators(settings.operators, self._instance, reactor),
+        }
+
+    def run(self) -> int:
+        """Run until the shutdown is over; returns the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._ask_to_stop)
+        reactor.callWhenRunning(self._life.listening)
+        reactor.run(installSignalHandlers=False)
+        return self._exit_code
+
+    def _ask_to_stop(self, *_: object) -> None:
+        # A signal handler runs between any two steps of the loop's code, so it only wakes the loop.
+        reactor.callFromThread(self._instance.feed, StopAsked())
+
+    def _exit(self, exit_code: int) -> None:
+        self._exit_code = exit_code
+        # The last replies are still being written when the exit is decided.
+        reactor.callLater(0, self._life.exit_decided)
+
+    def _perform(self, action: str) -> None:
+        match action:
+            case "announce":
+                self._announce()
+            case "close_connections":
+                drained = self._site.drain().addTimeout(DRAIN_TIMEOUT_S, reactor)
+                drained.addBoth(lambda _: reactor.callLater(0, self._life.drained))
+            case "stop_loop":
+                reactor.stop()
+
+    def _announce(self) -> None:
+        tier = self._instance.state.settings
+        self._instance.feed(Started(tier.instance_id, tier.availability_zone, tier.incarnation))
+        hosts = {name: port.getHost() for name, port in self._ports.items()}
+        addresses = {name: f"{host.host}:{host.port}" for name, host in hosts.items()}
+        addresses["peers"] = f"{tier.peer_host}:{tier.peer_port}"
+        log_event("started", tuple(addresses.items()))
+        print("ready " + " ".join(f"{name}={at}" for name, at in addresses.items()), flush=True)
+
+
+ACTIONS = frozenset({"announce", "close_connections", "stop_loop"})
