Refuse a search in time that has waited too long for admission

Cause: the timer of admission was due at the very time up to which a request may start, when nothing has expired yet, and was not set again; without another event the caller got no answer. Change: the timer is due 1 ms later. What the end of an attempt means has a module of its own. Figures: the new test fails without the change (no answer for r1).

--- a/savoryarch/search/_attempt_chart.py
+++ b/savoryarch/search/_attempt_chart.py
@@ -6,11 +6,8 @@
 from savoryarch.charts import load_chart
 from savoryarch.model import (
     AttemptEnded,
-    AttemptReply,
     ConnectionLost,
     Count,
-    DeadlinePassed,
-    Draining,
     LeftOutReason,
     LogEvent,
     MalformedReply,
@@ -20,8 +17,6 @@
     ProbeTarget,
     RefusalReason,
     Shed,
-    SnapshotNotServed,
-    TimedOut,
 )
 from savoryarch.search._guard import quarantined_for_ms
 from savoryarch.search._query_chart import (
@@ -30,6 +25,7 @@
     leave_out,
     step_query,
 )
+from savoryarch.search._replies import cannot_have_run, failure_reason
 from savoryarch.search._sending import (
     arm_check,
     cancel_attempt,
@@ -72,15 +68,6 @@
     return turn
 
 
-def is_whole_part(attempt: Attempt, reply: AttemptReply) -> bool:
-    """Return whether a reply is the whole part of the shard at the asked snapshot."""
-    match reply:
-        case PartReturned(snapshot=snapshot, complete=True):
-            return snapshot == attempt.snapshot
-        case _:
-            return False
-
-
 def check_slowness(turn: Turn) -> Turn:
     """Judge the attempts that are later than most, and set the timer of the next check."""
     turn = replace(turn, query=replace(turn.query, check_at_ms=float("inf")))
@@ -317,34 +304,6 @@
     return _send_retry(paid, service, shard, target_id, shard.failure.value)
 
 
-def failure_reason(reply: AttemptReply) -> LeftOutReason:
-    """Return why a shard is left out if this was the end of its last attempt."""
-    match reply:
-        case PartReturned(complete=False):
-            return LeftOutReason.CUT_SHORT
-        case PartReturned() | SnapshotNotServed():
-            return LeftOutReason.SNAPSHOT
-        case Shed() | Draining():
-            return LeftOutReason.REFUSED
-        case DeadlinePassed() | TimedOut():
-            return LeftOutReason.LATE
-        case MalformedReply():
-            return LeftOutReason.MALFORMED
-        case _:
-            return LeftOutReason.LOST
-
-
-def cannot_have_run(reply: AttemptReply) -> bool:
-    """Return whether a failed attempt left no work at a target."""
-    match reply:
-        case SnapshotNotServed() | Shed() | Draining() | NotSent():
-            return True
-        case DeadlinePassed(not_run=not_run):
-            return not_run
-        case _:
-            return False
-
-
 _ACTIONS: dict[str, Action] = {
     "note_overdue": _note_overdue,
     "hedge": _hedge,
--- a/savoryarch/search/_decide.py
+++ b/savoryarch/search/_decide.py
@@ -33,7 +33,6 @@
 )
 from savoryarch.search._attempt_chart import (
     check_slowness,
-    is_whole_part,
     resume_waiting,
     step_attempt,
 )
@@ -45,6 +44,7 @@
     is_finished,
     step_query,
 )
+from savoryarch.search._replies import is_whole_part
 from savoryarch.search._sending import ROOM_TIMER, SLOW_TIMER
 from savoryarch.search._state import Attempt, Query, SearchState
 from savoryarch.search._turn import Turn, end_turn
@@ -53,6 +53,7 @@
 DecidedSearch = DecidedOnTargets[SearchState, TargetsState]
 
 _BURST_RATIO = 2.0  # bursts of the instances seldom coincide
+_WAKE_MARGIN_MS = 1.0  # admission expires what is past its time, not what is at it
 _ANY_SEARCH = Search("", (), 0.0)
 
 
@@ -210,7 +211,7 @@
     if wake_at_ms is None or wake_at_ms == decided.state.wake_at_ms:
         return decided
     state = replace(decided.state, wake_at_ms=wake_at_ms)
-    timer = SetTimer(ADMISSION_TIMER, wake_at_ms)
+    timer = SetTimer(ADMISSION_TIMER, wake_at_ms + _WAKE_MARGIN_MS)
     return replace(decided, state=state, effects=(*decided.effects, timer))
 
 
--- /dev/null
+++ b/savoryarch/search/_replies.py
@@ -0,0 +1,52 @@
+"""What the end of an attempt means for its shard."""
+
+from savoryarch.model import (
+    AttemptReply,
+    DeadlinePassed,
+    Draining,
+    LeftOutReason,
+    MalformedReply,
+    NotSent,
+    PartReturned,
+    Shed,
+    SnapshotNotServed,
+    TimedOut,
+)
+from savoryarch.search._state import Attempt
+
+
+def is_whole_part(attempt: Attempt, reply: AttemptReply) -> bool:
+    """Return whether a reply is the whole part of the shard at the asked snapshot."""
+    match reply:
+        case PartReturned(snapshot=snapshot, complete=True):
+            return snapshot == attempt.snapshot
+        case _:
+            return False
+
+
+def failure_reason(reply: AttemptReply) -> LeftOutReason:
+    """Return why a shard is left out if this was the end of its last attempt."""
+    match reply:
+        case PartReturned(complete=False):
+            return LeftOutReason.CUT_SHORT
+        case PartReturned() | SnapshotNotServed():
+            return LeftOutReason.SNAPSHOT
+        case Shed() | Draining():
+            return LeftOutReason.REFUSED
+        case DeadlinePassed() | TimedOut():
+            return LeftOutReason.LATE
+        case MalformedReply():
+            return LeftOutReason.MALFORMED
+        case _:
+            return LeftOutReason.LOST
+
+
+def cannot_have_run(reply: AttemptReply) -> bool:
+    """Return whether a failed attempt left no work at a target."""
+    match reply:
+        case SnapshotNotServed() | Shed() | Draining() | NotSent():
+            return True
+        case DeadlinePassed(not_run=not_run):
+            return not_run
+        case _:
+            return False
--- a/savoryarch/search/tests/test_admission.py
+++ b/savoryarch/search/tests/test_admission.py
@@ -16,7 +16,7 @@
     TellPeers,
 )
 from savoryarch.quarantine import QuarantineDeclared, fingerprint_of
-from savoryarch.search import unfinished_requests
+from savoryarch.search import FixedDelayHedging, SearchSettings, unfinished_requests
 from savoryarch.search.tests.driver import Driver, declare, returned
 
 ONE_AT_A_TIME = AdmissionSettings(policy=FixedLimit(3.0), urgent_headroom=0.0)
@@ -124,3 +124,17 @@
     assert max(driver.in_flight().values()) == 1
     driver.run()
     assert [driver.answered_at_ms[name] for name in ("r0", "r2", "r1")] == [21.0, 41.0, 61.0]
+
+
+def test_a_query_that_has_waited_too_long_is_refused_in_time():
+    driver = Driver(
+        script=lambda send, now: returned(send, 400.0),
+        search=SearchSettings(hedging=FixedDelayHedging(1000.0)),  # no other timer helps
+        admission=ONE_AT_A_TIME,
+    )
+    driver.ask("r0")
+    driver.ask("r1", deadline_at_ms=driver.now_ms + 100.0)
+    driver.run(until_ms=150.0)
+    outcome = driver.outcome("r1")
+    assert (outcome.reason, outcome.not_run) == (RefusalReason.OVERLOADED, True)
+    assert driver.answered_at_ms["r1"] <= 101.0
