Try random orders of events under an admission limit as well

Cause: a search that waited for admission could go without an answer, which the property test could not see because nothing ever waited in it. Change: half of the orders run with a limit of two sub-requests.

--- a/savoryarch/search/tests/test_properties.py
+++ b/savoryarch/search/tests/test_properties.py
@@ -3,6 +3,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from savoryarch.admission import AdmissionSettings, FixedLimit
 from savoryarch.model import (
     CallerGone,
     ConnectionLost,
@@ -157,12 +158,15 @@
     st.sampled_from([0.0, 0.5, 1.0]),
     st.sampled_from([SNAPSHOTS, (OLD, NEW)]),
     st.sampled_from([[], [], [], [("stop",)]]),
+    st.sampled_from([None, AdmissionSettings(policy=FixedLimit(2.0))]),
 )
-def test_every_order_of_events(steps, draws, policy, prefer, minimum_coverage, probed, last):
+def test_every_order_of_events(
+    steps, draws, policy, prefer, minimum_coverage, probed, last, admission
+):
     declarations = declare(
         shards=3, shard_maps=SHARD_MAPS, prefer=prefer, minimum_coverage=minimum_coverage
     )
-    driver = Driver(declarations, make_script(draws), search=policy)
+    driver = Driver(declarations, make_script(draws), search=policy, admission=admission)
     driver.probe_snapshots = lambda target_id: probed
     fate = play(driver, [*steps, *last, ("ask", "last", None)])
     for request_id, became in fate.items():
