--- a/tests/guards.py
+++ b/tests/guards.py
@@ -14,12 +14,14 @@
 
 import pytest
 
+from savoryarch.admission.tests.guards import GUARDS as ADMISSION_GUARDS
 from savoryarch.configuration.tests.guards import GUARDS as CONFIGURATION_GUARDS
 from savoryarch.configuration.tests.guards import run_proof as run_configuration_proof
 from savoryarch.membership.tests.guards import GUARDS as MEMBERSHIP_GUARDS
 from savoryarch.model import PartReturned
 from savoryarch.orders.tests.guards import GUARDS as ORDERS_GUARDS
 from savoryarch.orders.tests.guards import run_proof as run_orders_proof
+from savoryarch.quarantine.tests.guards import GUARDS as QUARANTINE_GUARDS
 from tests.guard import Guard, SubjectGuard
 
 TRACES = "tests/test_traces.py::test_trace_holds"
@@ -160,7 +162,7 @@
     """Print one row per guard and proof; return 1 if a proof catches nothing."""
     rows = [
         (guard.promise, guard.name, proof, catches(guard, proof))
-        for guard in GUARDS + MEMBERSHIP_GUARDS
+        for guard in GUARDS + MEMBERSHIP_GUARDS + ADMISSION_GUARDS + QUARANTINE_GUARDS
         for proof in guard.proofs
     ]
     rows += [
