Wire notices, tokens and TLS into the instance

Cause: the notices looked at nothing, the operators' address asked for no token, and neither it nor the peers' address spoke TLS, although the settings hold the keys. Change: the root decision gives the notices the facts when their timer is due; the operators' address takes tokens and certificates, and bounds bodies and senders as the callers' does, in memory; the transport between peers takes certificates.

--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -7,10 +7,9 @@
 
 from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import DeferredList
-from twisted.web.server import Site
 
 from savoryarch import model
-from savoryarch.api import make_operator_app
+from savoryarch.api import Access, make_operator_app, make_tls_options
 from savoryarch.codec import make_message_codec
 from savoryarch.entry._caller_front import make_caller_app
 from savoryarch.entry._caller_site import CallerSite
@@ -20,9 +19,9 @@
 from savoryarch.entry._metrics import Metrics
 from savoryarch.entry._no_platform import AbsentInstanceList, AbsentStore
 from savoryarch.model import Started, StopAsked
-from savoryarch.peers import PeerCounts, PeerTransport
+from savoryarch.peers import PeerCounts, PeerTls, PeerTransport
 from savoryarch.resources import RECORD_CODEC
-from savoryarch.settings import Settings
+from savoryarch.settings import OperatorsSettings, Settings
 from savoryarch.store import StoreClient, StoreSettings
 from savoryarch.tier import SUBJECT_MESSAGES, TierSettings, make_tier_state
 from savoryarch.utils import make_system_clock, make_wall_clock
@@ -90,6 +89,7 @@
         configuration=settings.configuration,
         membership=settings.membership,
         shutdown=settings.shutdown,
+        notices=settings.notices,
         peer_host=settings.peers.host,
         peer_port=peers.port,
     )
@@ -132,27 +132,41 @@
         codec.encode_frame,
         codec.decode_frame,
         counts,
+        _peer_tls(settings),
     )
 
 
+def _peer_tls(settings: Settings) -> PeerTls | None:
+    peers = settings.peers
+    if not peers.tls_certificate_file:
+        return None
+    return PeerTls(peers.tls_certificate_file, peers.tls_authority_file, peers.tls_server_name)
+
+
 def _drain_and_stop(sites: list[CallerSite]) -> None:
     drained = DeferredList([site.drain() for site in sites])
     drained.addTimeout(DRAIN_TIMEOUT_S, reactor).addBoth(lambda _: reactor.stop())
 
 
 def _listen(settings: Settings, instance: EntryInstance, callers: CallerSite) -> dict[str, Any]:
-    operators = Site(make_operator_app(instance).resource())
-    operators.displayTracebacks = False
     return {
         "callers": reactor.listenTCP(
             settings.callers.port, callers, interface=settings.callers.host
         ),
-        "operators": reactor.listenTCP(
-            settings.operators.port, operators, interface=settings.operators.host
-        ),
+        "operators": _listen_operators(settings.operators, instance),
     }
 
 
+def _listen_operators(settings: OperatorsSettings, instance: EntryInstance) -> Any:
+    access = Access(settings.read_token_hashes, settings.write_token_hashes)
+    app = make_operator_app(instance, access)
+    site = CallerSite(app.resource(), reactor, instance.count_refusal)
+    if not settings.tls_certificate_file:
+        return reactor.listenTCP(settings.port, site, interface=settings.host)
+    options = make_tls_options(settings.tls_certificate_file, settings.tls_key_file)
+    return reactor.listenSSL(settings.port, site, options, interface=settings.host)
+
+
 def _start(settings: Settings, instance: EntryInstance, ports: dict[str, Any]) -> None:
     tier = instance.state.settings
     instance.feed(Started(tier.instance_id, tier.availability_zone, tier.incarnation))
--- a/savoryarch/peers/_transport.py
+++ b/savoryarch/peers/_transport.py
@@ -18,6 +18,7 @@
     read_frame,
     write_frame,
 )
+from savoryarch.peers._tls import PeerTls
 
 MAX_MESSAGES_PER_WAKE_UP = 64
 SEND_BUFFER_MESSAGES = 64
@@ -103,6 +104,8 @@
         Message to bytes and back; `decode` raises ``CodecError`` on what it does not know.
     counts : PeerCounts, optional
         Called for each message.
+    tls : PeerTls, optional
+        Keys; without them, peers speak plain TCP.
     """
 
     def __init__(
@@ -116,6 +119,7 @@
         encode: Callable[[object], bytes],
         decode: Callable[[bytes], object],
         counts: PeerCounts | None = None,
+        tls: PeerTls | None = None,
     ) -> None:
         self._reactor = reactor
         self._instance_id = instance_id
@@ -124,6 +128,8 @@
         self._encode = encode
         self._decode = decode
         self._counts = counts or PeerCounts()
+        self._tls = tls
+        self._scheme = "tls+tcp" if tls else "tcp"
         self._addresses: dict[str, _Address] = {}
         self._sockets: dict[str, pynng.Push0] = {}
         self._used: set[str] = set()
@@ -131,7 +137,9 @@
         self._listener = pynng.Pull0(
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES, recv_max_size=MAX_FRAME_BYTES
         )
-        bound = self._listener.listen(f"tcp://{host}:{port}")
+        if tls:
+            self._listener.tls_config = tls.listener_config()
+        bound = self._listener.listen(f"{self._scheme}://{host}:{port}")
         self.port = _port_of(bound)
         self._receiver = _Receiver(self._listener, self._receive)
         reactor.addReader(self._receiver)
@@ -211,7 +219,9 @@
                 reconnect_time_min=RECONNECT_MIN_MS,
                 reconnect_time_max=RECONNECT_MAX_MS,
             )
-            socket.dial(f"tcp://{address.host}:{address.port}", block=False)
+            if self._tls:
+                socket.tls_config = self._tls.dialer_config()
+            socket.dial(f"{self._scheme}://{address.host}:{address.port}", block=False)
             self._sockets[peer_id] = socket
         return socket
 
--- a/savoryarch/tier/_decide.py
+++ b/savoryarch/tier/_decide.py
@@ -22,7 +22,7 @@
     TimerFired,
     UnfinishedChanged,
 )
-from savoryarch.notices import decide_notices
+from savoryarch.notices import OBSERVE_TIMER, TierObserved, decide_notices, observe
 from savoryarch.orders import decide_orders
 from savoryarch.orders import unfinished_requests as unfinished_orders
 from savoryarch.search import decide_search
@@ -136,10 +136,17 @@
 
 
 def _notices(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    if event == TimerFired(OBSERVE_TIMER):
+        event = _observe(state, now_ms)
     decided = decide_notices(state.notices, event, now_ms)
     return Decided(replace(state, notices=decided.state), decided.effects)
 
 
+def _observe(state: TierState, now_ms: float) -> TierObserved:
+    zones = state.membership.unreachable_zones
+    return observe(state.targets, state.search.quarantine, zones, now_ms)
+
+
 def _shutdown(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
     decided = decide_shutdown(state.shutdown, event, now_ms)
     return Decided(replace(state, shutdown=decided.state), decided.effects)
@@ -154,5 +161,6 @@
     "configuration": _configuration,
     "membership": _membership,
     "shutdown": _shutdown,
+    "notices": _notices,
 }
 _ALL = tuple(_SUBJECTS.values())
--- a/savoryarch/tier/_state.py
+++ b/savoryarch/tier/_state.py
@@ -10,7 +10,7 @@
 )
 from savoryarch.membership import MembershipSettings, MembershipState, make_membership_state
 from savoryarch.model import RecordCodec
-from savoryarch.notices import NoticesState
+from savoryarch.notices import NoticesSettings, NoticesState
 from savoryarch.orders import OrdersSettings, OrdersState, make_orders_state
 from savoryarch.quarantine import QuarantineSettings
 from savoryarch.search import SearchSettings, SearchState, make_search_state
@@ -42,6 +42,7 @@
     admission: AdmissionSettings = field(default_factory=AdmissionSettings)
     quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
     orders: OrdersSettings = field(default_factory=OrdersSettings)
+    notices: NoticesSettings = field(default_factory=NoticesSettings)
     configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
     membership: MembershipSettings = field(default_factory=MembershipSettings)
     shutdown: ShutdownSettings = field(default_factory=ShutdownSettings)
@@ -96,4 +97,5 @@
             settings.membership, settings.peer_host, settings.peer_port
         ),
         shutdown=make_shutdown_state(settings.shutdown),
+        notices=NoticesState(settings.notices),
     )
--- /dev/null
+++ b/savoryarch/tier/tests/test_notices.py
@@ -0,0 +1,58 @@
+import pytest
+
+from savoryarch.configuration import change_declarations
+from savoryarch.model import (
+    Declarations,
+    DeclarationsInForce,
+    PutResource,
+    Service,
+    SetTimer,
+    Sign,
+    Started,
+    Target,
+    TargetSigned,
+    TimerFired,
+)
+from savoryarch.notices import OBSERVE_TIMER, list_notices
+from savoryarch.resources import RECORD_CODEC
+from savoryarch.settings import parse_settings
+from savoryarch.tier import TierSettings, decide_tier, make_tier_state
+
+TEXT = "[instance]\ninstance_id = entry-1\navailability_zone = zone-a\n"
+TARGET = Target("balcao-01-a", "balcao-01", "zone-a", "127.0.0.1", 7001)
+SERVICE = Service("balcao-01", "balcao", 2, 25, (TARGET,))
+HOUR_MS = 3_600_000.0
+
+
+def make_state():
+    read, _ = parse_settings(TEXT, "instance.ini")
+    settings = TierSettings(
+        instance_id="entry-1",
+        availability_zone="zone-a",
+        incarnation=1,
+        targets=read.targets,
+        search=read.search,
+        shutdown=read.shutdown,
+    )
+    return make_tier_state(settings, RECORD_CODEC)
+
+
+@pytest.mark.parametrize(
+    ("sign", "notices"),
+    [(Sign.CONNECTED, []), (Sign.CONNECTION_REFUSED, ["service-down/balcao-01"])],
+)
+def test_facts_of_the_targets_become_notices(sign, notices):
+    declarations = change_declarations(Declarations(generation=1), (PutResource(SERVICE),))
+    events = [
+        (0.0, Started("entry-1", "zone-a", 1)),
+        (1.0, DeclarationsInForce(declarations)),
+        (2.0, TargetSigned(TARGET.target_id, sign)),
+        (5_000.0, TimerFired(OBSERVE_TIMER)),
+        (HOUR_MS, TimerFired(OBSERVE_TIMER)),
+    ]
+    state = make_state()
+    for at_ms, event in events:
+        decided = decide_tier(state, event, at_ms)
+        state = decided.state
+    assert [item.notice.notice_id for item in list_notices(state.notices)] == notices
+    assert SetTimer(OBSERVE_TIMER, HOUR_MS + 5_000.0) in decided.effects
--- /dev/null
+++ b/tests/process/test_access.py
@@ -0,0 +1,94 @@
+"""Tokens and TLS on real processes."""
+
+from functools import partial
+
+import pytest
+import requests
+
+from savoryarch.api import hash_token
+from savoryarch.peers.tests.authority import Authority
+from savoryarch_standins.harness import Cluster, ClusterPlan, EntryPlan
+from tests.process.test_configuration import wait_until
+
+HTTP_TIMEOUT_S = 10.0
+ENTRIES = (EntryPlan("entry-1", "zone-a"), EntryPlan("entry-2", "zone-b"))
+PORTAL = "/v1/resources/caller/portal"
+
+
+class Secured:
+    """A cluster whose operators' API and peers ask for keys."""
+
+    def __init__(self, cluster, authority):
+        self.cluster, self.authority = cluster, authority
+
+    def call(self, instance_id, method, path, token="", body=None):
+        address = self.cluster.entries[instance_id].address("operators")
+        return requests.request(
+            method,
+            f"https://{address}{path}",
+            json=body,
+            headers={"authorization": f"Bearer {token}"},
+            verify=str(self.authority.path),
+            timeout=HTTP_TIMEOUT_S,
+        )
+
+    def count_live(self, instance_id):
+        status = self.call(instance_id, "GET", "/v1/status", "reader").json()
+        return sum(item["live"] for item in status["instances"])
+
+
+@pytest.fixture(scope="module")
+def secured(tmp_path_factory):
+    authority = Authority(tmp_path_factory.mktemp("keys"), "fleet")
+    certificate, key = authority.make_files()
+    settings = {
+        "operators": {
+            "read_token_hashes": hash_token("reader"),
+            "write_token_hashes": hash_token("writer"),
+            "tls_certificate_file": str(certificate),
+            "tls_key_file": str(key),
+        },
+        "peers": {
+            "tls_certificate_file": str(certificate),
+            "tls_authority_file": str(authority.path),
+        },
+    }
+    with Cluster(ClusterPlan(targets="", entries=ENTRIES, settings=settings)) as cluster:
+        yield Secured(cluster, authority)
+
+
+@pytest.mark.process
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize(
+    ("method", "token", "status"),
+    [
+        ("GET", "", 401),
+        ("GET", "stranger", 401),
+        ("GET", "reader", 404),
+        ("PUT", "", 401),
+        ("PUT", "reader", 403),
+        ("PUT", "writer", 200),
+        ("GET", "reader", 200),
+    ],
+)
+def test_roles(secured, method, token, status):
+    reply = secured.call("entry-1", method, PORTAL, token, {"weight": 2.0})
+    assert reply.status_code == status
+
+
+@pytest.mark.process
+@pytest.mark.timeout(120)
+def test_configuration_spreads_between_peers_with_keys(secured):
+    wait_until(partial(secured.count_live, "entry-2"), 2)
+    accepted = secured.call("entry-1", "PUT", PORTAL, "writer", {"weight": 3.0}).json()
+    since = accepted["generation"] - 1
+    secured.call("entry-2", "GET", f"/v1/watch?since={since}&wait_ms=5000", "reader")
+    assert secured.call("entry-2", "GET", PORTAL, "reader").json()["weight"] == 3.0
+
+
+@pytest.mark.process
+@pytest.mark.timeout(120)
+def test_plain_http_gets_nothing(secured):
+    address = secured.cluster.entries["entry-1"].address("operators")
+    with pytest.raises(requests.exceptions.ConnectionError):
+        requests.get(f"http://{address}/v1/status", timeout=HTTP_TIMEOUT_S)
