--- a/tests/process/test_access.py
+++ b/tests/process/test_access.py
@@ -1,5 +1,8 @@
 """Tokens and TLS on real processes."""
 
+import os
+import subprocess
+import sys
 from functools import partial
 
 import pytest
@@ -92,3 +95,19 @@
     address = secured.cluster.entries["entry-1"].address("operators")
     with pytest.raises(requests.exceptions.ConnectionError):
         requests.get(f"http://{address}/v1/status", timeout=HTTP_TIMEOUT_S)
+
+
+@pytest.mark.process
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize(
+    ("token", "trusts", "exit_code"),
+    [("reader", True, 0), ("stranger", True, 1), ("reader", False, 3)],
+)
+def test_command_line(secured, token, trusts, exit_code):
+    environment = dict(os.environ, SAVORYARCH_TOKEN=token)
+    if trusts:
+        environment["SSL_CERT_FILE"] = str(secured.authority.path)
+    address = secured.cluster.entries["entry-1"].address("operators")
+    command = [sys.executable, "-m", "savoryarch", "status", "--operators", f"https://{address}"]
+    ended = subprocess.run(command, env=environment, capture_output=True, timeout=60, check=False)
+    assert ended.returncode == exit_code, ended.stdout
