--- a/savoryarch/api/tests/test_tls.py
+++ b/savoryarch/api/tests/test_tls.py
@@ -4,7 +4,7 @@
 from OpenSSL.SSL import TLS_METHOD, VERIFY_PEER, Connection, Context, Error, WantReadError
 
 from savoryarch.api import make_tls_options
-from savoryarch.peers.tests.authority import Authority
+from savoryarch.api.tests.authority import Authority
 
 
 def shake_hands(client, server):
--- a/savoryarch/peers/_tls.py
+++ b/savoryarch/peers/_tls.py
@@ -1,13 +1,16 @@
-"""TLS between entry instances: each proves by its certificate that it belongs to them."""
+"""Mutual TLS between peers, and the threads of nng."""
 
 from dataclasses import dataclass
+from functools import cache
 
-from pynng import TLSConfig
+import pynng
+
+TASK_THREADS = 2
 
 
 @dataclass(frozen=True, slots=True)
 class PeerTls:
-    """Keys of one instance.
+    """Files of the mutual TLS between peers.
 
     Parameters
     ----------
@@ -23,21 +26,36 @@
     authority_file: str
     server_name: str
 
-    def listener_config(self) -> TLSConfig:
-        """Return what a listener needs; a peer without a signed certificate is refused."""
-        return TLSConfig(
-            TLSConfig.MODE_SERVER,
-            auth_mode=TLSConfig.AUTH_MODE_REQUIRED,
-            ca_files=self.authority_file,
-            cert_key_file=self.certificate_file,
-        )
-
-    def dialer_config(self) -> TLSConfig:
-        """Return what a dialer needs; a listener without a signed certificate is refused."""
-        return TLSConfig(
-            TLSConfig.MODE_CLIENT,
-            server_name=self.server_name,
-            auth_mode=TLSConfig.AUTH_MODE_REQUIRED,
-            ca_files=self.authority_file,
-            cert_key_file=self.certificate_file,
-        )
+
+def make_listener_tls(tls: PeerTls) -> pynng.TLSConfig:
+    """Make the configuration of a listener that refuses peers without a certificate."""
+    return pynng.TLSConfig(
+        pynng.TLSConfig.MODE_SERVER,
+        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+        ca_files=tls.authority_file,
+        cert_key_file=tls.certificate_file,
+    )
+
+
+def make_dialer_tls(tls: PeerTls) -> pynng.TLSConfig:
+    """Make the configuration of a dialer that refuses listeners of another authority or name."""
+    return pynng.TLSConfig(
+        pynng.TLSConfig.MODE_CLIENT,
+        server_name=tls.server_name,
+        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+        ca_files=tls.authority_file,
+        cert_key_file=tls.certificate_file,
+    )
+
+
+@cache
+def limit_threads() -> None:
+    """Have nng start few threads; works once, before the first socket of the process."""
+    lib = pynng.lib
+    lib.nng_init_set_parameter(lib.NNG_INIT_NUM_TASK_THREADS, TASK_THREADS)
+    for parameter in (
+        lib.NNG_INIT_NUM_EXPIRE_THREADS,
+        lib.NNG_INIT_NUM_POLLER_THREADS,
+        lib.NNG_INIT_NUM_RESOLVER_THREADS,
+    ):
+        lib.nng_init_set_parameter(parameter, 1)
--- a/savoryarch/peers/_transport.py
+++ b/savoryarch/peers/_transport.py
@@ -18,7 +18,7 @@
     read_frame,
     write_frame,
 )
-from savoryarch.peers._tls import PeerTls
+from savoryarch.peers._tls import PeerTls, limit_threads, make_dialer_tls, make_listener_tls
 
 MAX_MESSAGES_PER_WAKE_UP = 64
 SEND_BUFFER_MESSAGES = 64
@@ -105,7 +105,7 @@
     counts : PeerCounts, optional
         Called for each message.
     tls : PeerTls, optional
-        Keys; without them, peers speak plain TCP.
+        Without it, anybody who reaches the address is taken for a peer.
     """
 
     def __init__(
@@ -121,6 +121,7 @@
         counts: PeerCounts | None = None,
         tls: PeerTls | None = None,
     ) -> None:
+        limit_threads()
         self._reactor = reactor
         self._instance_id = instance_id
         self._incarnation = incarnation
@@ -128,17 +129,17 @@
         self._encode = encode
         self._decode = decode
         self._counts = counts or PeerCounts()
-        self._tls = tls
-        self._scheme = "tls+tcp" if tls else "tcp"
         self._addresses: dict[str, _Address] = {}
         self._sockets: dict[str, pynng.Push0] = {}
         self._used: set[str] = set()
         self._incarnations: dict[str, int] = {}
+        self._scheme = "tls+tcp" if tls else "tcp"
+        self._dialer_tls = make_dialer_tls(tls) if tls else None
         self._listener = pynng.Pull0(
-            recv_buffer_size=RECEIVE_BUFFER_MESSAGES, recv_max_size=MAX_FRAME_BYTES
+            recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
+            recv_max_size=MAX_FRAME_BYTES,
+            tls_config=make_listener_tls(tls) if tls else None,
         )
-        if tls:
-            self._listener.tls_config = tls.listener_config()
         bound = self._listener.listen(f"{self._scheme}://{host}:{port}")
         self.port = _port_of(bound)
         self._receiver = _Receiver(self._listener, self._receive)
@@ -218,9 +219,8 @@
                 send_buffer_size=SEND_BUFFER_MESSAGES,
                 reconnect_time_min=RECONNECT_MIN_MS,
                 reconnect_time_max=RECONNECT_MAX_MS,
+                tls_config=self._dialer_tls,
             )
-            if self._tls:
-                socket.tls_config = self._tls.dialer_config()
             socket.dial(f"{self._scheme}://{address.host}:{address.port}", block=False)
             self._sockets[peer_id] = socket
         return socket
--- a/tests/process/test_access.py
+++ b/tests/process/test_access.py
@@ -9,7 +9,7 @@
 import requests
 
 from savoryarch.api import hash_token
-from savoryarch.peers.tests.authority import Authority
+from savoryarch.api.tests.authority import Authority
 from savoryarch_standins.harness import Cluster, ClusterPlan, EntryPlan
 from tests.process.test_configuration import wait_until
 
