--- a/savoryarch/entry/_wiring.py
+++ b/savoryarch/entry/_wiring.py
@@ -4,11 +4,10 @@
 from functools import partial
 from typing import Any
 
-from twisted.web.server import Site
-
 from savoryarch import model
 from savoryarch.api import Access, make_operator_app, make_tls_options
 from savoryarch.codec import make_message_codec
+from savoryarch.entry._caller_site import CallerSite
 from savoryarch.entry._instance import EntryInstance
 from savoryarch.entry._instance_list import InstanceListClient
 from savoryarch.entry._metrics import Metrics
@@ -58,8 +57,8 @@
 def listen_operators(settings: OperatorsSettings, instance: EntryInstance, reactor: Any) -> Any:
     """Open the operators' address, with TLS if the settings name a certificate."""
     access = Access(settings.read_token_hashes, settings.write_token_hashes)
-    site = Site(make_operator_app(instance, access).resource())
-    site.displayTracebacks = False
+    app = make_operator_app(instance, access)
+    site = CallerSite(app.resource(), reactor, instance.count_refusal)
     if not settings.tls_certificate_file:
         return reactor.listenTCP(settings.port, site, interface=settings.host)
     options = make_tls_options(settings.tls_certificate_file, settings.tls_key_file)
@@ -79,6 +78,7 @@
         configuration=settings.configuration,
         membership=settings.membership,
         shutdown=settings.shutdown,
+        notices=settings.notices,
         peer_host=settings.peers.host,
         peer_port=peer_port,
     )
--- a/savoryarch/replay/_files.py
+++ b/savoryarch/replay/_files.py
@@ -31,6 +31,7 @@
     "configuration",
     "membership",
     "shutdown",
+    "notices",
 )
 
 
