--- a/savoryarch/admission/tests/test_admission.py
+++ b/savoryarch/admission/tests/test_admission.py
@@ -2,7 +2,7 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
 from savoryarch.admission import (
@@ -206,6 +206,7 @@
     assert low <= state.pools["p"].limit.value <= high
 
 
+FAST = (Phase.explicit, Phase.generate)  # shrinking takes minutes for long histories
 ACTIONS = st.lists(
     st.tuples(
         st.sampled_from(["offer", "finish", "withdraw", "wait"]),
@@ -237,7 +238,7 @@
 
 
 @given(ACTIONS)
-@settings(derandomize=True, max_examples=100, deadline=None)
+@settings(derandomize=True, max_examples=100, deadline=None, phases=FAST)
 def test_every_request_gets_one_outcome_and_limits_hold(actions):
     state, now_ms = make_state(limit=3.0), 0.0
     offered, ended = [], []
--- a/savoryarch/quarantine/tests/test_quarantine.py
+++ b/savoryarch/quarantine/tests/test_quarantine.py
@@ -1,7 +1,7 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import example, given, settings
+from hypothesis import Phase, example, given, settings
 from hypothesis import strategies as st
 
 from savoryarch.model import Count, TellPeers
@@ -201,6 +201,7 @@
 
 LONG = QuarantineSettings(quarantine_ms=1e6, suspicion_ms=1e6)
 INNOCENT = ("hot", "cold")
+FAST = (Phase.explicit, Phase.generate)  # shrinking takes minutes for long histories
 SENDS = st.lists(
     st.tuples(st.sampled_from(["P", *INNOCENT, "replies"]), st.integers(0, 1), st.integers(0, 2)),
     min_size=10,
@@ -256,7 +257,7 @@
 
 @given(SENDS)
 @example([("hot", 1, 2), ("hot", 0, 1), ("P", 0, 1), ("P", 0, 2)])
-@settings(derandomize=True, max_examples=400, deadline=None)
+@settings(derandomize=True, max_examples=400, deadline=None, phases=FAST)
 def test_at_most_two_crashes_and_only_the_guilty_is_quarantined(sends):
     states, crashes = run_sends(sends)
     assert crashes <= 2
