--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,12 +1,17 @@
 import re
+from pathlib import Path
+from shlex import split
 
 import pytest
 
-from savoryarch.cli import check_arguments
+from savoryarch.cli import check_arguments, main
 from savoryarch.resources import parse_resources
 from savoryarch.settings import parse_settings
 from tests.pages import DOCS, KINDS, PAGES, described, render_page
 
+ROOT = Path(__file__).parent.parent
+PROSE = sorted([*DOCS.glob("*.md"), ROOT / "README.md", ROOT / "CONTRIBUTING.md"])
+
 
 @pytest.mark.parametrize("page", PAGES)
 def test_tables_follow_the_declared_constraints(page):
@@ -19,12 +24,49 @@
     assert set().union(*map(described, texts)) == set(KINDS)
 
 
+def commands_of(path, program):
+    text = path.read_text(encoding="utf-8")
+    return re.findall(rf"^    {program} (.+)$", text, flags=re.MULTILINE)
+
+
+WITH_COMMANDS = [path for path in PROSE if commands_of(path, "savoryarch")]
+# These need no running instance, so that they are run as they stand.
+LOCAL = [
+    (path, command)
+    for path in WITH_COMMANDS
+    for command in commands_of(path, "savoryarch")
+    if command.split()[0] in ("check", "replay", "version") and "FILE" not in command
+]
+
+
 @pytest.mark.parametrize("page", PAGES)
-def test_commands_of_the_page_exist(page):
-    text = (DOCS / page).read_text(encoding="utf-8")
-    commands = re.findall(r"^    savoryarch (.+)$", text, flags=re.MULTILINE)
-    assert commands
-    assert [check_arguments(command.split()) for command in commands] == [""] * len(commands)
+def test_pages_of_operators_have_commands(page):
+    assert DOCS / page in WITH_COMMANDS
+
+
+@pytest.mark.parametrize("path", WITH_COMMANDS, ids=lambda path: path.name)
+def test_commands_of_the_page_exist(path):
+    commands = commands_of(path, "savoryarch")
+    assert [check_arguments(split(command)) for command in commands] == [""] * len(commands)
+
+
+@pytest.mark.parametrize(("path", "command"), LOCAL, ids=lambda item: str(item)[-40:])
+def test_local_commands_of_the_page_succeed(path, command, capsys):
+    arguments = [str(ROOT / word) if (ROOT / word).is_file() else word for word in split(command)]
+    assert main(arguments) == 0, capsys.readouterr()
+
+
+@pytest.mark.parametrize("path", PROSE, ids=lambda path: path.name)
+def test_make_targets_of_the_page_exist(path):
+    known = re.findall(r"^([a-z]+):", (ROOT / "Makefile").read_text(encoding="utf-8"), re.MULTILINE)
+    assert {command.split()[0] for command in commands_of(path, "make")} <= set(known)
+
+
+@pytest.mark.parametrize("path", PROSE, ids=lambda path: path.name)
+def test_links_of_the_page_lead_somewhere(path):
+    text = path.read_text(encoding="utf-8")
+    links = re.findall(r"\]\(([^)#:]+)\)", text)
+    assert [link for link in links if not (path.parent / link).exists()] == []
 
 
 def test_examples_of_the_pages_are_valid():
