--- a/savoryarch/cli/_commands.py
+++ b/savoryarch/cli/_commands.py
@@ -72,7 +72,7 @@
         except FindingsError as error:
             self._console.complain(str(error))
             return ExitCode.REFUSED
-        return import_module("savoryarch.entry").run_entry(loaded)
+        return import_module("savoryarch.entry").run_entry(loaded, settings)
 
     @as_text
     def check(self, *files: str) -> int:
--- a/savoryarch/codec/__init__.py
+++ b/savoryarch/codec/__init__.py
@@ -6,6 +6,7 @@
     encode_route_outcome,
     encode_search_outcome,
 )
+from savoryarch.codec._dialect import Dialect, JsonDialect
 from savoryarch.codec._messages import MessageCodec, make_message_codec
 from savoryarch.codec._target_http import (
     HttpReply,
@@ -18,6 +19,8 @@
 )
 
 __all__ = [
+    "Dialect",
+    "JsonDialect",
     "EncodedReply",
     "HttpReply",
     "HttpReplyParser",
--- /dev/null
+++ b/savoryarch/discovery/_state.py
@@ -0,0 +1,100 @@
+"""What this instance knows from the store, and how it keeps up."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from immutables import Map
+
+from savoryarch.discovery._settings import DiscoverySettings
+from savoryarch.model.forwarding import (
+    ForwardingTable,
+    RegisteredInstance,
+    RegisteredTarget,
+)
+
+NEVER_MS = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """An entry that cannot be used, and why."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unrelated:
+    """An entry that does not concern the discovery."""
+
+
+Entry = ForwardingTable | RegisteredTarget | RegisteredInstance | Malformed | Unrelated
+
+
+@dataclass(frozen=True, slots=True)
+class EntryCodec:
+    """How entries of the store are read and written.
+
+    Parameters
+    ----------
+    decode : callable
+        Takes the key and value of an entry and returns an `Entry`.
+    encode_instance : callable
+        Takes a `RegisteredInstance` and returns its value.
+    """
+
+    decode: Callable[[str, bytes], Entry]
+    encode_instance: Callable[[RegisteredInstance], bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class DiscoveryState:
+    """State of the discovery.
+
+    Parameters
+    ----------
+    settings : DiscoverySettings
+        Fixed from start to end.
+    codec : EntryCodec
+        Reads and writes entries.
+    life : str
+        State in the chart ``discovery``.
+    revision : int
+        Changes up to this revision are known.
+    table : ForwardingTable or None
+        The newest one that was read.
+    targets : Map
+        `RegisteredTarget` by key.
+    instances : Map
+        `RegisteredInstance` by key.
+    lapsed : Map
+        By key of a target whose entry is missing, when it is taken for gone.
+    known : bool
+        Whether table and targets were read at least once.
+    failures : int
+        Calls that failed in a row.
+    regained_at_ms : float
+        When the store last came back after failures.
+    lease_id : int or None
+        Of this instance's registration.
+    registration : RegisteredInstance or None
+        This instance.
+    """
+
+    settings: DiscoverySettings
+    codec: EntryCodec
+    life: str
+    revision: int = 0
+    table: ForwardingTable | None = None
+    targets: Map[str, RegisteredTarget] = field(default_factory=Map)
+    instances: Map[str, RegisteredInstance] = field(default_factory=Map)
+    lapsed: Map[str, float] = field(default_factory=Map)
+    known: bool = False
+    failures: int = 0
+    regained_at_ms: float = NEVER_MS
+    lease_id: int | None = None
+    registration: RegisteredInstance | None = None
+
+
+def no_codec() -> EntryCodec:
+    """Return a codec for an instance without discovery."""
+    return EntryCodec(lambda key, value: Unrelated(), lambda instance: b"")
--- a/savoryarch/entry/_errands.py
+++ b/savoryarch/entry/_errands.py
@@ -3,14 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from savoryarch.codec import (
-    HttpReply,
-    decode_attempt_reply,
-    decode_probe_reply,
-    encode_attempt,
-    encode_cancel,
-    encode_probe,
-)
+from savoryarch.codec import Dialect, HttpReply
 from savoryarch.entry._target_connection import TargetConnection
 from savoryarch.model import (
     AttemptEnded,
@@ -35,6 +28,7 @@
     reactor: Any
     clock: Clock
     feed: Callable[[object], None]
+    dialect: Dialect
 
     @property
     def host(self) -> str:
@@ -110,13 +104,13 @@
 class CancelErrand(Errand):
     """Tells the target that an attempt is not wanted any more; nobody waits for the reply."""
 
-    def __init__(self, pool: Pool, attempt_id: str) -> None:
+    def __init__(self, pool: Pool, cancellation: bytes) -> None:
         super().__init__(pool, CANCEL_TIMEOUT_MS, "cancel")
-        self._attempt_id = attempt_id
+        self._cancellation = cancellation
 
     def encode(self) -> bytes:
         """Return the cancellation."""
-        return encode_cancel(self._attempt_id, self._pool.host)
+        return self._cancellation
 
 
 class ProbeErrand(Errand):
@@ -127,11 +121,11 @@
 
     def encode(self) -> bytes:
         """Return the probe."""
-        return encode_probe(self._pool.host)
+        return self._pool.dialect.encode_probe(self._pool.host)
 
     def finish(self, reply: HttpReply) -> None:
         """Report what the endpoint said."""
-        self._sign(*decode_probe_reply(reply))
+        self._sign(*self._pool.dialect.decode_probe(reply))
 
     def finish_without(self, reply: AttemptReply) -> None:
         """Report that nothing usable came."""
@@ -151,13 +145,15 @@
     def encode(self) -> bytes:
         """Return the request with the time that is left now."""
         left_ms = self._send.deadline_at_ms - self._pool.clock.now_ms()
-        return encode_attempt(self._send.attempt_id, self._pool.host, left_ms, self._send.request)
+        return self._pool.dialect.encode_attempt(self._send, self._pool.target, left_ms)
+
+    def recognises(self, reply: HttpReply) -> bool:
+        """Return whether the reply belongs to this attempt."""
+        return self._pool.dialect.recognises(reply, self._send)
 
     def finish(self, reply: HttpReply) -> None:
         """Report what the target replied."""
-        decoded, snapshots, load = decode_attempt_reply(
-            reply, self._send.attempt_id, self._send.request
-        )
+        decoded, snapshots, load = self._pool.dialect.decode_attempt(reply, self._send)
         self._report(decoded, snapshots, load)
 
     def finish_without(self, reply: AttemptReply) -> None:
--- a/savoryarch/entry/_instance.py
+++ b/savoryarch/entry/_instance.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred, TimeoutError
 
+from savoryarch.codec import Dialect
 from savoryarch.entry._log import log_error, log_event
 from savoryarch.entry._metrics import Metrics
 from savoryarch.entry._target_client import TargetClient
@@ -28,29 +29,30 @@
     InstanceListFailed,
     InstancesListed,
     LimitConnections,
-    ListKeys,
     LogEvent,
     OpenConnections,
     PeerSaid,
     ProbeTarget,
     ReadInstanceList,
-    ReadKey,
     RouteAsked,
     SearchAsked,
     SendAttempt,
     SetReadiness,
     SetTimer,
     StatusAsked,
+    StoreCall,
     StoreReplied,
-    SwapKey,
     TellPeer,
     TellPeers,
-    WatchKeys,
+)
+from savoryarch.model.forwarding import (
+    AnswerForward,
+    ForwardAsked,
 )
 from savoryarch.tier import TierState, decide_tier
 from savoryarch.utils import Clock
 
-Asked = SearchAsked | RouteAsked | ChangeAsked | StatusAsked
+Asked = SearchAsked | RouteAsked | ForwardAsked | ChangeAsked | StatusAsked
 
 
 class EntryInstance:
@@ -68,6 +70,8 @@
         Counters.
     exit_process : callable
         Called with the exit code when the shutdown is over.
+    dialect : Dialect, optional
+        The protocol that targets speak; the project's own if absent.
     """
 
     def __init__(
@@ -77,11 +81,12 @@
         clock: Clock,
         metrics: Metrics,
         exit_process: Callable[[int], None],
+        dialect: Dialect | None = None,
     ) -> None:
         self.state = state
         self.clock = clock
         self.metrics = metrics
-        self.targets = TargetClient(reactor, clock, self.feed)
+        self.targets = TargetClient(reactor, clock, self.feed, dialect)
         self.timers = Timers(reactor, clock, self.feed)
         self.peers: Any = None
         self.store: Any = None
@@ -91,6 +96,7 @@
         self._watching: list[Deferred] = []
         self._declarations = Declarations()
         self._ready = False
+        self.when_ready: Callable[[], None] = lambda: None
         self._next_number = 0
         self._asked: dict[str, Deferred] = {}
         self._events: deque[object] = deque()
@@ -183,10 +189,14 @@
                 self.timers.clear(timer_id)
             case AnswerSearch(request_id=asked_id, outcome=outcome):
                 self._answer(asked_id, outcome)
-            case AnswerRoute(request_id=asked_id, outcome=outcome):
+            case AnswerRoute(request_id=asked_id, outcome=outcome) | AnswerForward(
+                request_id=asked_id, outcome=outcome
+            ):
                 self._answer(asked_id, outcome)
             case Count(counter=counter, reason=reason, by=by):
                 self.metrics.count(counter, reason, by)
+            case _ if isinstance(effect, StoreCall):
+                self._call_store(effect)
             case LogEvent(name=name, fields=fields):
                 log_event(name, fields)
             case _:
@@ -194,8 +204,6 @@
 
     def _perform_rarely(self, effect: object) -> None:
         match effect:
-            case ReadKey() | SwapKey() | ListKeys() | WatchKeys():
-                self._call_store(effect)
             case AnswerChange(change_id=asked_id, outcome=outcome):
                 self._answer(asked_id, outcome)
             case AnswerStatus(status_id=asked_id, status=status):
@@ -212,6 +220,8 @@
                 self._read_instance_list()
             case SetReadiness(ready=ready):
                 self._ready = ready
+                if ready:
+                    self.when_ready()
             case DeclarationsInForce(declarations=declarations):
                 self._declare(declarations)
             case Exit(exit_code=exit_code):
@@ -232,7 +242,7 @@
         if waiting is not None:
             waiting.callback(outcome)
 
-    def _call_store(self, call: ReadKey | SwapKey | ListKeys | WatchKeys) -> None:
+    def _call_store(self, call: StoreCall) -> None:
         replied = self.store.perform(call)
         replied.addCallback(lambda reply: self.feed(StoreReplied(call.call_id, reply)))
 
@@ -262,5 +272,9 @@
             return change_id
         case StatusAsked(status_id=status_id):
             return status_id
-        case SearchAsked(request_id=request_id) | RouteAsked(request_id=request_id):
+        case (
+            SearchAsked(request_id=request_id)
+            | RouteAsked(request_id=request_id)
+            | ForwardAsked(request_id=request_id)
+        ):
             return request_id
--- /dev/null
+++ b/savoryarch/entry/_reload.py
@@ -0,0 +1,77 @@
+"""Reads the settings file again when it has changed."""
+
+from collections.abc import Callable
+from dataclasses import fields
+from pathlib import Path
+from typing import Any
+
+from savoryarch.entry._log import log_error, log_event
+from savoryarch.exceptions import FindingsError
+from savoryarch.model import SettingsReloaded
+from savoryarch.settings import Settings, load_settings
+
+# Sections whose subjects take new settings while they run.
+RELOADED_SECTIONS = ("discovery", "forwarding", "shutdown")
+CHECK_INTERVAL_S = 2.0  # between looks at the file, which may change without a signal
+
+
+class SettingsFile:
+    """The settings file of this process.
+
+    Parameters
+    ----------
+    path : str
+        The file; with an empty one nothing is ever read again.
+    settings : Settings
+        As read at the start.
+    feed : callable
+        Takes `SettingsReloaded`.
+    reactor : object
+        Twisted's reactor.
+    """
+
+    def __init__(
+        self, path: str, settings: Settings, feed: Callable[[object], None], reactor: Any
+    ) -> None:
+        self._path = path
+        self._settings = settings
+        self._feed = feed
+        self._reactor = reactor
+        self._read_text = self._read()
+
+    def watch(self) -> None:
+        """Look for changes from now on."""
+        if self._path:
+            self.reload_if_changed()
+            self._reactor.callLater(CHECK_INTERVAL_S, self.watch)
+
+    def reload_if_changed(self) -> None:
+        """Take the settings over if the file has changed and nothing is wrong in it."""
+        text = self._read()
+        if text == self._read_text:
+            return
+        self._read_text = text
+        try:
+            settings = load_settings(self._path)
+        except FindingsError as error:
+            log_error("settings_refused", (("findings", str(error)),))
+            return
+        changed = [
+            item.name
+            for item in fields(settings)
+            if getattr(settings, item.name) != getattr(self._settings, item.name)
+        ]
+        waiting = [name for name in changed if name not in RELOADED_SECTIONS]
+        self._settings = settings
+        self._feed(SettingsReloaded({name: getattr(settings, name) for name in RELOADED_SECTIONS}))
+        told = (("changed", ",".join(changed)), ("after_restart", ",".join(waiting)))
+        log_event("settings_reloaded", told)
+
+    def _read(self) -> str:
+        if not self._path:
+            return ""
+        try:
+            return Path(self._path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            log_error("settings_unreadable", (("path", self._path), ("error", str(error))))
+            return ""
--- a/savoryarch/entry/_target_client.py
+++ b/savoryarch/entry/_target_client.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from savoryarch.codec import Dialect, JsonDialect
 from savoryarch.entry._target_pool import TargetPool
 from savoryarch.model import (
     AttemptEnded,
@@ -31,12 +32,21 @@
         Clock of the process.
     feed : callable
         Takes the events that come back.
+    dialect : Dialect, optional
+        The protocol that targets speak; the project's own if absent.
     """
 
-    def __init__(self, reactor: Any, clock: Clock, feed: Callable[[object], None]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        feed: Callable[[object], None],
+        dialect: Dialect | None = None,
+    ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._feed = feed
+        self._dialect = dialect or JsonDialect()
         self._pools: dict[str, TargetPool] = {}
 
     def declare(self, declarations: Declarations) -> None:
@@ -83,7 +93,7 @@
         self._pools.clear()
 
     def _make_pool(self, target: Target) -> TargetPool:
-        return TargetPool(target, self._reactor, self._clock, self._feed)
+        return TargetPool(target, self._reactor, self._clock, self._feed, self._dialect)
 
     def _refuse(self, effect: TargetEffect) -> None:
         if isinstance(effect, SendAttempt):
--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol as TwistedProtocol
 
 from savoryarch.charts import load_chart
@@ -59,6 +60,9 @@
     def connection_opened(self, connection: "TargetConnection") -> None:
         """Note that the target accepted a connection."""
 
+    def idle_until_ms(self, reply: HttpReply) -> float:
+        """Return until when the connection may be reused after a reply."""
+
 
 class TargetConnection(TwistedProtocol):
     """One connection to a target; at most one request is outstanding on it.
@@ -72,6 +76,7 @@
     """
 
     transport: Any = None
+    idle_until_ms = float("inf")
 
     def __init__(self, owner: ConnectionOwner, reactor: Any) -> None:
         self._owner = owner
@@ -133,6 +138,7 @@
                 self._enter_doubt("got the reply to another request")
                 return
             self._reply = reply
+            self.idle_until_ms = self._owner.idle_until_ms(reply)
             if reply.keep_alive:
                 self._step("replied")
             else:
@@ -140,11 +146,21 @@
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Note the end of the connection; called by Twisted."""
+        if not self._closed and reason is not None and reason.check(ConnectionDone):
+            self._finish()
         if not self._closed:
             self._doubt = reason.getErrorMessage() if reason else "lost"
             self._step("lost")
         self._tell_closed(None)
 
+    def _finish(self) -> None:
+        """Take a reply that ends with the connection."""
+        self._reply = self._parser.finish()
+        exchange = self._exchange
+        if self._reply is None or exchange is None or not exchange.recognises(self._reply):
+            return
+        self._step("replied_last")
+
     def _is_idle(self) -> bool:
         return self._exchange is None and self._grace is None
 
--- a/savoryarch/entry/_target_pool.py
+++ b/savoryarch/entry/_target_pool.py
@@ -8,13 +8,14 @@
 from twisted.internet.error import ConnectError
 from twisted.python.failure import Failure
 
+from savoryarch.codec import Dialect, HttpReply
 from savoryarch.entry._errands import AttemptErrand, CancelErrand, Errand, ProbeErrand
 from savoryarch.entry._target_connection import TargetConnection
 from savoryarch.model import Cancelled, NotSent, SendAttempt, Sign, Target, TargetSigned, TimedOut
 from savoryarch.utils import Clock
 
-CONNECT_TIMEOUT_S = 2.0
 DEFAULT_CONNECTION_LIMIT = 2
+_MS_PER_S = 1000.0
 
 
 class TargetPool:
@@ -30,15 +31,23 @@
         Clock of the process.
     feed : callable
         Takes the events `AttemptEnded` and `TargetSigned`.
+    dialect : Dialect
+        The protocol that the target speaks.
     """
 
     def __init__(
-        self, target: Target, reactor: Any, clock: Clock, feed: Callable[[object], None]
+        self,
+        target: Target,
+        reactor: Any,
+        clock: Clock,
+        feed: Callable[[object], None],
+        dialect: Dialect,
     ) -> None:
         self.target = target
         self.reactor = reactor
         self.clock = clock
         self.feed = feed
+        self.dialect = dialect
         self._limit = DEFAULT_CONNECTION_LIMIT
         self._spare = 0
         self._open: set[TargetConnection] = set()
@@ -75,16 +84,20 @@
             return
         connection.abandon()
         attempt.failed(Cancelled())
-        if self._idle or len(self._open) < self._limit:
-            cancel = CancelErrand(self, attempt_id)
+        cancellation = self.dialect.encode_cancel(attempt_id, self.host)
+        if cancellation and (self._idle or len(self._open) < self._limit):
+            cancel = CancelErrand(self, cancellation)
             self._cancels[connection] = cancel
             self._submit(cancel)
         # Without a connection to spare the target learns of it when the grace period closes
         # this one.
 
     def probe(self) -> None:
-        """Ask the target's health endpoint; ends with one `TargetSigned`."""
-        self._submit(ProbeErrand(self))
+        """Ask the target's health endpoint, or just connect; ends with one `TargetSigned`."""
+        if not self.dialect.probes_by_connecting:
+            self._submit(ProbeErrand(self))
+        elif not self._open:
+            self._connect_if_allowed()
 
     def keep_open(self, count: int) -> None:
         """Keep at least `count` connections open, within the limit."""
@@ -122,6 +135,7 @@
     def offer(self, connection: TargetConnection) -> None:
         """Take an idle connection from the connection itself."""
         self._drop_cancel(connection)
+        self._drop_stale()
         self._idle.append(connection)
         if len(self._open) > self._limit:
             self._retire(connection)
@@ -140,14 +154,29 @@
         self._connecting.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
-        if sign is not None:
+        if sign is not None and self._is_telling(sign):
             self.feed(TargetSigned(self.target.target_id, sign))
         if sign is Sign.CONNECTION_REFUSED:
             self._fail_waiting("the target refused a connection")
         elif self._waiting and not self._idle:
             self._connect_if_allowed()
 
+    def idle_until_ms(self, reply: HttpReply) -> float:
+        """Return until when a connection may be reused after a reply."""
+        return self.clock.now_ms() + self.dialect.idle_limit_ms(reply)
+
+    def _is_telling(self, sign: Sign) -> bool:
+        # Targets close idle connections in ordinary times; a crash closes all of them.
+        last = not self._open
+        return sign is not Sign.CONNECTION_CLOSED or self.dialect.doubts_every_close or last
+
+    def _drop_stale(self) -> None:
+        now_ms = self.clock.now_ms()
+        for connection in [item for item in self._idle if item.idle_until_ms <= now_ms]:
+            self._retire(connection)
+
     def _submit(self, errand: Errand) -> None:
+        self._drop_stale()
         if self._idle:
             self._assign(errand)
             return
@@ -183,7 +212,10 @@
         self._open.add(connection)
         self._connecting.add(connection)
         endpoint = TCP4ClientEndpoint(
-            self.reactor, self.target.host, self.target.port, CONNECT_TIMEOUT_S
+            self.reactor,
+            self.target.host,
+            self.target.port,
+            self.dialect.connect_timeout_ms / _MS_PER_S,
         )
         connectProtocol(endpoint, connection).addErrback(self._connect_failed, connection)
 
--- a/savoryarch/entry/_wiring.py
+++ b/savoryarch/entry/_wiring.py
@@ -11,8 +11,18 @@
 from savoryarch.entry._instance import EntryInstance
 from savoryarch.entry._instance_list import InstanceListClient
 from savoryarch.entry._metrics import Metrics
-from savoryarch.entry._no_platform import AbsentInstanceList, AbsentStore
+from savoryarch.entry._no_platform import (
+    AbsentInstanceList,
+    AbsentStore,
+    DiscoveredInstanceList,
+)
 from savoryarch.peers import PeerCounts, PeerTls, PeerTransport
+from savoryarch.platform import (
+    PlatformDialect,
+    decode_store_reply,
+    encode_store_call,
+    make_entry_codec,
+)
 from savoryarch.resources import RECORD_CODEC
 from savoryarch.settings import OperatorsSettings, PeersSettings, Settings
 from savoryarch.store import StoreClient, StoreSettings
@@ -41,19 +51,32 @@
         instance.hear(peer_id, message)
 
     peers = _make_peers(settings, reactor, incarnation, hear, metrics)
-    state = make_tier_state(_tier_settings(settings, incarnation, peers.port), RECORD_CODEC)
-    instance = EntryInstance(state, reactor, make_system_clock(), metrics, exit_process)
-    instance.peers = peers
-    store_url, list_url = settings.platform.store_url, settings.platform.instance_list_url
-    instance.store = (
-        StoreClient(StoreSettings(url=store_url), reactor) if store_url else AbsentStore()
-    )
-    instance.instance_list = (
-        InstanceListClient(list_url, reactor) if list_url else AbsentInstanceList()
+    state = make_tier_state(
+        _tier_settings(settings, incarnation, peers.port),
+        RECORD_CODEC,
+        make_entry_codec(settings.discovery.instances_prefix),
     )
+    dialect = PlatformDialect() if settings.forwarding.enabled else None
+    instance = EntryInstance(state, reactor, make_system_clock(), metrics, exit_process, dialect)
+    instance.peers = peers
+    instance.store = _make_store(settings, reactor)
+    list_url = settings.platform.instance_list_url
+    if settings.discovery.enabled:
+        instance.instance_list = DiscoveredInstanceList(instance)
+    else:
+        instance.instance_list = (
+            InstanceListClient(list_url, reactor) if list_url else AbsentInstanceList()
+        )
     return instance
 
 
+def _make_store(settings: Settings, reactor: Any) -> StoreClient | AbsentStore:
+    url = settings.platform.store_url
+    if not url:
+        return AbsentStore()
+    return StoreClient(StoreSettings(url=url), reactor, encode_store_call, decode_store_reply)
+
+
 def listen_operators(settings: OperatorsSettings, instance: EntryInstance, reactor: Any) -> Any:
     """Open the operators' address, with TLS if the settings name a certificate."""
     access = Access(settings.read_token_hashes, settings.write_token_hashes)
@@ -79,6 +102,8 @@
         membership=settings.membership,
         shutdown=settings.shutdown,
         notices=settings.notices,
+        forwarding=settings.forwarding,
+        discovery=settings.discovery,
         peer_host=settings.peers.host,
         peer_port=peer_port,
     )
--- /dev/null
+++ b/savoryarch/forwarding/_admit.py
@@ -0,0 +1,140 @@
+"""Decides whether a request is forwarded, and to which services."""
+
+import math
+from dataclasses import replace
+
+from immutables import Map
+
+from savoryarch.forwarding._budgets import earn_extra
+from savoryarch.forwarding._routes import match_route, pick_services
+from savoryarch.forwarding._state import Forward, ForwardingState, Piece
+from savoryarch.forwarding._turn import Turn
+from savoryarch.model import (
+    RefusalReason,
+)
+from savoryarch.model.forwarding import (
+    ForwardAsked,
+    ForwardedRoute,
+    ToService,
+    ToShards,
+)
+from savoryarch.quarantine import Quarantined, fingerprint_of, judge_request
+from savoryarch.targets import TargetsState, can_serve
+
+PRIORITY_STEP = 0.15  # of the overload ratio, per rank below the most urgent
+MIN_PRIORITY_RATIO = 0.4
+_NO_ROUTE = ForwardedRoute("", "", "/", ToService(""), True, 1000.0, 1000.0, 1, 0)
+_ROUNDING = 1e-9  # keeps 0.9 of 10 shards at 9
+
+
+def make_forward(
+    state: ForwardingState, targets: TargetsState, asked: ForwardAsked, now_ms: float
+) -> tuple[Turn, RefusalReason | None]:
+    """Make the state of a request, and tell why it is turned away, if it is."""
+    reason = None
+    request = asked.request
+    route = match_route(state, request.host, request.path)
+    if state.stopping:
+        reason = RefusalReason.STOPPING
+    elif state.table is None:
+        reason = RefusalReason.NO_CONFIGURATION
+    elif route is None:
+        reason = RefusalReason.UNKNOWN_ROUTE
+    route = route or _NO_ROUTE
+    services: tuple[str, ...] = ()
+    if reason is None:
+        state, services = pick_services(state, route)
+        state = _note_wait(state, route, asked)
+    forward = _make(state, route, services, asked, now_ms)
+    for service in services:
+        budget = earn_extra(state, service, targets.live_instances, now_ms)
+        state = replace(state, budgets=state.budgets.set(service, budget))
+    turn = Turn(state, targets, forward, now_ms)
+    return turn, reason or _turn_away(turn, services)
+
+
+def _make(
+    state: ForwardingState,
+    route: ForwardedRoute,
+    services: tuple[str, ...],
+    asked: ForwardAsked,
+    now_ms: float,
+) -> Forward:
+    settings = state.settings
+    left_ms = route.timeout_ms
+    if asked.client_left_ms is not None:
+        left_ms = min(left_ms, asked.client_left_ms)
+    deadline_at_ms = now_ms + max(0.0, left_ms - settings.deadline_margin_ms)
+    objective_ms = route.objective_ms - settings.travel_ms - _elapsed_ms(state, route, asked)
+    request = asked.request
+    return Forward(
+        asked=asked,
+        route=route,
+        asked_at_ms=now_ms,
+        objective_at_ms=min(now_ms + objective_ms, deadline_at_ms),
+        deadline_at_ms=deadline_at_ms,
+        fingerprint=fingerprint_of(request.path.decode("latin-1"), request.body),
+        pieces=Map({service: Piece(service) for service in services}),
+        required=_required(route, len(services)),
+    )
+
+
+def _required(route: ForwardedRoute, count: int) -> int:
+    match route.destination:
+        case ToShards(minimum_coverage=minimum_coverage):
+            return max(1, math.ceil(minimum_coverage * count - _ROUNDING))
+        case _:
+            return count
+
+
+def _note_wait(
+    state: ForwardingState, route: ForwardedRoute, asked: ForwardAsked
+) -> ForwardingState:
+    usual_ms = state.usual_wait_ms.get(route.name, 0.0)
+    if asked.client_left_ms is None or asked.client_left_ms <= usual_ms:
+        return state
+    waits = state.usual_wait_ms.set(route.name, asked.client_left_ms)
+    return replace(state, usual_wait_ms=waits)
+
+
+def _elapsed_ms(state: ForwardingState, route: ForwardedRoute, asked: ForwardAsked) -> float:
+    """Return how long ago the client's first attempt was, if its objective can still be met."""
+    usual_ms = state.usual_wait_ms.get(route.name)
+    if usual_ms is None or asked.client_left_ms is None:
+        return 0.0
+    elapsed_ms = usual_ms - asked.client_left_ms
+    return elapsed_ms if elapsed_ms < route.objective_ms - state.settings.travel_ms else 0.0
+
+
+def _turn_away(turn: Turn, services: tuple[str, ...]) -> RefusalReason | None:
+    """Return why a request cannot be served now.
+
+    Answers a load beyond the targets' slots: a request to shards is refused at once when more
+    shards are overloaded than its answer may leave out, instead of losing parts of every request.
+    """
+    forward, state = turn.forward, turn.state
+    verdict = judge_request(state.quarantine, forward.fingerprint, turn.now_ms)
+    if isinstance(verdict, Quarantined):
+        return RefusalReason.QUARANTINED
+    spare = len(services) - forward.required
+    unserved = [
+        service for service in services if not can_serve(turn.targets, service, frozenset(), None)
+    ]
+    if len(unserved) > spare:
+        return RefusalReason.NO_TARGET
+    busy = sum(
+        1 for service in services if service not in unserved and _is_overloaded(turn, service)
+    )
+    return RefusalReason.OVERLOADED if busy + len(unserved) > spare else None
+
+
+def _is_overloaded(turn: Turn, service: str) -> bool:
+    targets = turn.targets
+    in_flight = len(turn.state.waiting.get(service, ()))
+    slots = 0
+    for target_id in targets.services[service].target_ids:
+        in_flight += targets.uses[target_id].in_flight
+        slots += targets.records[target_id].slots
+    rank = max(MIN_PRIORITY_RATIO, 1.0 - PRIORITY_STEP * turn.forward.route.priority)
+    share = max(1.0, slots / targets.live_instances)
+    return in_flight >= turn.state.settings.overload_ratio * rank * share
--- /dev/null
+++ b/savoryarch/forwarding/tests/driver.py
@@ -0,0 +1,185 @@
+"""Drives the forwarded requests in virtual time, without any input or output."""
+
+from dataclasses import dataclass, field, replace
+
+from immutables import Map
+
+from savoryarch.forwarding import ForwardingSettings, decide_forwarding, make_forwarding_state
+from savoryarch.model import (
+    AttemptEnded,
+    CallerGone,
+    CancelAttempt,
+    Declarations,
+    DeclarationsInForce,
+    ResponseReturned,
+    SendAttempt,
+    Service,
+    SetTimer,
+    Sign,
+    Target,
+    TargetSigned,
+    TimerFired,
+)
+from savoryarch.model.forwarding import (
+    AnswerForward,
+    ForwardAsked,
+    ForwardedRequest,
+    ForwardedRoute,
+    ForwardingTable,
+    TableInForce,
+    ToService,
+    ToShards,
+    ToSplit,
+    WeightedService,
+)
+from savoryarch.targets import TargetsSettings, decide_targets, make_targets_state
+
+SHARDS = tuple(f"shard-{number}" for number in range(10))
+SETTINGS = ForwardingSettings(enabled=True, extra_requests=40.0)
+
+
+def make_route(name, destination, **fields):
+    values = {
+        "host": "h.example",
+        "path_prefix": f"/{name}/",
+        "idempotent": True,
+        "timeout_ms": 1500.0,
+        "objective_ms": 100.0,
+        "max_attempts": 2,
+        "priority": 1,
+    }
+    return ForwardedRoute(name=name, destination=destination, **(values | fields))
+
+
+ROUTES = (
+    make_route("read", ToService("shop")),
+    make_route("order", ToService("shop"), idempotent=False),
+    make_route("split", ToSplit((WeightedService("shop", 3), WeightedService("depot", 1)))),
+    make_route("find", ToShards(SHARDS, 2, 0.89)),
+    make_route("deep", ToService("depot"), path_prefix="/read/deep/"),
+    make_route("slow", ToService("shop"), priority=5),
+)
+
+
+def request(path="/read/1", request_id="r1", body=b""):
+    return ForwardedRequest(request_id, b"GET", path.encode(), "h.example", (), body)
+
+
+def returned(status=200, body=b"ok", digest="d"):
+    return ResponseReturned(status, (), body, digest)
+
+
+@dataclass
+class World:
+    """The decisions of one instance, and what they asked for."""
+
+    replicas: int = 3
+    slots: int = 2
+    settings: ForwardingSettings = SETTINGS
+    now_ms: float = 1000.0
+    effects: list = field(default_factory=list)
+    asked: int = 0
+
+    def __post_init__(self):
+        self.state = make_forwarding_state(self.settings)
+        self.targets = make_targets_state(TargetsSettings("zone-a"))
+        names = ("shop", "depot", *SHARDS)
+        services = {
+            name: Service(
+                name,
+                name,
+                self.slots,
+                100,
+                tuple(
+                    Target(f"{name}-{number}", name, "zone-a", "127.0.0.1", 1)
+                    for number in range(self.replicas)
+                ),
+            )
+            for name in names
+        }
+        self.feed(DeclarationsInForce(Declarations(1, services=Map(services))))
+        for service in services.values():
+            for target in service.targets:
+                self.sign(target.target_id, Sign.CONNECTED)
+        self.feed(TableInForce(ForwardingTable(1, ROUTES)))
+        self.effects.clear()
+
+    def feed(self, event):
+        """Feed an event; returns the effects."""
+        decided = decide_targets(self.targets, event, self.now_ms)
+        self.targets = decided.state
+        decided = decide_forwarding(self.state, self.targets, event, self.now_ms)
+        self.state, self.targets = decided.state, decided.targets
+        self.effects += decided.effects
+        return decided.effects
+
+    def sign(self, target_id, sign):
+        self.feed(TargetSigned(target_id, sign))
+
+    def lose(self, *services):
+        """Have every target of some services refuse connections."""
+        for service in services:
+            for target_id in self.targets.services[service].target_ids:
+                self.sign(target_id, Sign.CONNECTION_REFUSED)
+
+    def ask(self, path="/read/1", left_ms=1500.0, request_id=None, body=b""):
+        """Ask for a path; returns the id of the request."""
+        self.asked += 1
+        name = f"q{self.asked}"
+        asked = request(path, request_id or f"r{self.asked}", body)
+        self.feed(ForwardAsked(name, asked, left_ms))
+        return name
+
+    def end(self, send, reply):
+        """End an attempt."""
+        return self.feed(AttemptEnded(send.attempt_id, send.target_id, reply))
+
+    def sends(self):
+        return [effect for effect in self.effects if isinstance(effect, SendAttempt)]
+
+    def take_sends(self):
+        """Return the attempts sent since the last look."""
+        sends = self.sends()
+        self.effects = [item for item in self.effects if not isinstance(item, SendAttempt)]
+        return sends
+
+    def service_of(self, send):
+        return self.targets.records[send.target_id].target.service
+
+    def cancelled(self):
+        return [item.attempt_id for item in self.effects if isinstance(item, CancelAttempt)]
+
+    def outcome(self, name="q1"):
+        """Return the outcome of a request, or None."""
+        found = [
+            item.outcome
+            for item in self.effects
+            if isinstance(item, AnswerForward) and item.request_id == name
+        ]
+        assert len(found) <= 1
+        return found[0] if found else None
+
+    def leave(self, name="q1"):
+        self.feed(CallerGone(name))
+
+    def advance(self, to_ms):
+        """Fire the timers that are due up to a time after the start at 1,000 ms."""
+        until_ms = 1000.0 + to_ms
+        while True:
+            timers = {item.timer_id: item for item in self.effects if isinstance(item, SetTimer)}
+            due = [item for item in timers.values() if item.at_ms <= until_ms]
+            if not due:
+                break
+            first = min(due, key=lambda item: item.at_ms)
+            self.effects = [
+                item
+                for item in self.effects
+                if not (isinstance(item, SetTimer) and item.timer_id == first.timer_id)
+            ]
+            self.now_ms = max(self.now_ms, first.at_ms)
+            self.feed(TimerFired(first.timer_id))
+        self.now_ms = until_ms
+
+    def with_settings(self, **fields):
+        self.state = replace(self.state, settings=replace(self.state.settings, **fields))
+        return self
--- /dev/null
+++ b/savoryarch/front/__init__.py
@@ -0,0 +1,17 @@
+"""HTTP server towards clients whose requests are forwarded."""
+
+from savoryarch.front._connection import ClientAnswer, ClientConnection, ClientDialect
+from savoryarch.front._front import Front
+from savoryarch.front._parser import ParsedRequest, RequestParser, UnusableRequest
+from savoryarch.front._readiness import Readiness
+
+__all__ = [
+    "ClientAnswer",
+    "ClientConnection",
+    "ClientDialect",
+    "Front",
+    "ParsedRequest",
+    "Readiness",
+    "RequestParser",
+    "UnusableRequest",
+]
--- /dev/null
+++ b/savoryarch/front/_front.py
@@ -0,0 +1,89 @@
+"""The address at which clients' requests are taken and forwarded."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import Factory, Protocol
+
+from savoryarch.front._connection import ClientConnection, ClientDialect
+from savoryarch.model import (
+    CallerGone,
+)
+from savoryarch.model.forwarding import (
+    ForwardAsked,
+    ForwardedRequest,
+    ForwardOutcome,
+    FrontLimits,
+)
+
+
+class Front(Factory):
+    """Makes a connection per client and keeps track of them.
+
+    Parameters
+    ----------
+    instance : object
+        The entry instance, which decides.
+    reactor : object
+        Twisted's reactor.
+    dialect : ClientDialect
+        How requests are read and answers are written.
+    """
+
+    noisy = False
+
+    def __init__(self, instance: Any, reactor: Any, dialect: ClientDialect) -> None:
+        self.reactor = reactor
+        self.dialect = dialect
+        self._instance = instance
+        self._connections: set[ClientConnection] = set()
+        self._closing = False
+
+    def buildProtocol(self, addr: Any) -> Protocol:  # noqa: N802
+        """Make the connection of a client; called by Twisted."""
+        connection = ClientConnection(self)
+        self._connections.add(connection)
+        return connection
+
+    def limits(self) -> FrontLimits:
+        """Return the limits in force."""
+        table = self._instance.state.forwarding.table
+        return table.limits if table else FrontLimits()
+
+    def is_closing(self) -> bool:
+        """Return whether connections end with their next answer."""
+        return self._closing
+
+    def close_connections(self) -> None:
+        """Let each connection end with its next answer."""
+        self._closing = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    def submit(
+        self,
+        request: ForwardedRequest,
+        left_ms: float | None,
+        answer: Callable[[ForwardOutcome], None],
+    ) -> str:
+        """Have a request forwarded; returns its id."""
+        request_id = self._instance.next_request_id()
+        asked = ForwardAsked(request_id, request, left_ms)
+        self._instance.submit(asked).addCallback(answer)
+        return request_id
+
+    def withdraw(self, request_id: str) -> None:
+        """Note that the client of a request has gone."""
+        self._instance.withdraw(request_id)
+        self._instance.feed(CallerGone(request_id))
+
+    def count_refusal(self, reason: str) -> None:
+        """Count a request that cannot be forwarded."""
+        self._instance.count_refusal(reason)
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Drop a closed connection."""
+        self._connections.discard(connection)
--- a/savoryarch/model/_instances.py
+++ b/savoryarch/model/_instances.py
@@ -1,5 +1,6 @@
 """Entry instances, the platform's instance list, and the life of this instance."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -153,3 +154,16 @@
 
     exit_code: int
     cut_request_ids: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsReloaded:
+    """The settings file has changed.
+
+    Parameters
+    ----------
+    sections : mapping of str to object
+        The settings of each subject, by the name of its section.
+    """
+
+    sections: Mapping[str, object]
--- a/savoryarch/model/_store.py
+++ b/savoryarch/model/_store.py
@@ -39,6 +39,45 @@
     wait_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class GrantLease:
+    """Ask for a lease; the keys that are put under it go when it ends."""
+
+    call_id: str
+    ttl_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class KeepLease:
+    """Renew a lease; answered by `LeaseGranted` or `LeaseEnded`."""
+
+    call_id: str
+    lease_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class PutLeased:
+    """Write one key under a lease; answered by `Swapped` or `LeaseEnded`."""
+
+    call_id: str
+    key: str
+    value: bytes
+    lease_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGranted:
+    """The lease runs for `ttl_ms` from the call."""
+
+    lease_id: int
+    ttl_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseEnded:
+    """The lease does not exist any more, and neither do its keys."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeyRead:
     """The key's value and the revision that wrote it."""
@@ -116,7 +155,7 @@
     detail: str
 
 
-StoreCall = ReadKey | SwapKey | ListKeys | WatchKeys
+StoreCall = ReadKey | SwapKey | ListKeys | WatchKeys | GrantLease | KeepLease | PutLeased
 StoreReply = (
     KeyRead
     | KeyAbsent
@@ -125,6 +164,8 @@
     | KeysListed
     | KeysChanged
     | WatchCompacted
+    | LeaseGranted
+    | LeaseEnded
     | StoreLimited
     | StoreUnreachable
 )
--- a/savoryarch/model/_targets.py
+++ b/savoryarch/model/_targets.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from savoryarch.model._search import SnapshotId
+from savoryarch.model.forwarding import Fields, ForwardedRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,14 +48,14 @@
         The declared target.
     deadline_at_ms : float
         Sent along as the time that is left, and enforced here.
-    request : PartRequest or RouteRequest
+    request : PartRequest or RouteRequest or ForwardedRequest
         What to send.
     """
 
     attempt_id: str
     target_id: str
     deadline_at_ms: float
-    request: PartRequest | RouteRequest
+    request: PartRequest | RouteRequest | ForwardedRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +93,33 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseReturned:
+    """The target ran a forwarded request.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (bytes, bytes)
+        Every header that is passed on, in order.
+    body : bytes
+        The whole body.
+    digest : str
+        The target's digest of its reply; empty if it gave none.
+    """
+
+    status: int
+    headers: Fields
+    body: bytes
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class Misdirected:
+    """Another target has the address; nothing ran."""
+
+
 @dataclass(frozen=True, slots=True)
 class SnapshotNotServed:
     """The target does not serve the asked snapshot; nothing ran."""
@@ -164,6 +192,8 @@
 AttemptReply = (
     PartReturned
     | RouteReturned
+    | ResponseReturned
+    | Misdirected
     | SnapshotNotServed
     | Shed
     | Draining
--- /dev/null
+++ b/savoryarch/platform/_records.py
@@ -0,0 +1,171 @@
+"""Decodes what the operator and the targets write to the store, and this project's own entries."""
+
+import msgspec
+from immutables import Map
+
+from savoryarch.discovery import Entry, EntryCodec, Malformed, Unrelated
+from savoryarch.model import (
+    Target,
+)
+from savoryarch.model.forwarding import (
+    Destination,
+    ForwardedRoute,
+    ForwardingTable,
+    FrontLimits,
+    RegisteredInstance,
+    RegisteredTarget,
+    ToService,
+    ToShards,
+    ToSplit,
+    WeightedService,
+)
+from savoryarch.platform._wire import target_id_of
+
+CONFIGURATION_KEY = "op/config"
+TARGETS_PREFIX = "servers/"
+DEFAULT_ATTEMPTS = 2
+_READY = "ready"
+_DRAINING = "draining"
+
+
+class _Part(msgspec.Struct, rename="kebab"):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="kebab"):
+    name: str
+    host: str
+    path_prefix: str
+    type: str
+    timeout_ms: float
+    # The response-time objective of a request.
+    slo_ms: float = 1000.0
+    priority: int = 0
+    max_attempts: int = DEFAULT_ATTEMPTS
+    service: str | None = None
+    split: tuple[_Part, ...] = ()
+    # The shards of a search, one service each.
+    gather: tuple[str, ...] = ()
+    top_k: int = 0
+    min_coverage: float = 0.0
+
+
+class _Service(msgspec.Struct, rename="kebab"):
+    name: str
+    max_conns: int
+
+
+class _Limits(msgspec.Struct, rename="kebab"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Configuration(msgspec.Struct, rename="kebab"):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...] = ()
+    limits: _Limits | None = None
+
+
+class _Registration(msgspec.Struct, rename="kebab"):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    # Unix milliseconds of the target's start; a new start under the same id is a new target.
+    born: int = 0
+
+
+class _Instance(msgspec.Struct):
+    instance_id: str
+    availability_zone: str
+    host: str
+    port: int
+
+
+def make_entry_codec(instances_prefix: str) -> EntryCodec:
+    """Make the codec of the store's entries."""
+
+    def decode(key: str, value: bytes) -> Entry:
+        try:
+            if key == CONFIGURATION_KEY:
+                return decode_table(value)
+            if key.startswith(TARGETS_PREFIX):
+                return decode_target(key.removeprefix(TARGETS_PREFIX), value)
+            if key.startswith(instances_prefix):
+                row = msgspec.json.decode(value, type=_Instance)
+                return RegisteredInstance(
+                    row.instance_id, row.availability_zone, row.host, row.port
+                )
+        except (msgspec.MsgspecError, ValueError) as error:
+            return Malformed(str(error))
+        return Unrelated()
+
+    return EntryCodec(decode, encode_instance)
+
+
+def encode_instance(instance: RegisteredInstance) -> bytes:
+    """Encode the registration of an entry instance."""
+    row = _Instance(instance.instance_id, instance.availability_zone, instance.host, instance.port)
+    return msgspec.json.encode(row)
+
+
+def decode_table(value: bytes) -> ForwardingTable:
+    """Decode the operator's configuration; raises ``ValueError`` if it is malformed."""
+    row = msgspec.json.decode(value, type=_Configuration)
+    limits = FrontLimits()
+    if row.limits is not None:
+        limits = FrontLimits(
+            row.limits.max_header_bytes,
+            row.limits.max_body_bytes,
+            row.limits.header_timeout_ms,
+            row.limits.idle_timeout_ms,
+        )
+    return ForwardingTable(
+        version=row.version,
+        routes=tuple(_make_route(route) for route in row.routes),
+        connection_limits=Map({service.name: service.max_conns for service in row.services}),
+        limits=limits,
+    )
+
+
+def _make_route(row: _Route) -> ForwardedRoute:
+    return ForwardedRoute(
+        name=row.name,
+        host=row.host.lower(),
+        path_prefix=row.path_prefix,
+        destination=_make_destination(row),
+        idempotent=row.type == "idempotent",
+        timeout_ms=row.timeout_ms,
+        objective_ms=row.slo_ms,
+        max_attempts=max(1, row.max_attempts),
+        priority=row.priority,
+    )
+
+
+def _make_destination(row: _Route) -> Destination:
+    if row.gather:
+        return ToShards(row.gather, row.top_k, row.min_coverage)
+    if row.split:
+        return ToSplit(tuple(WeightedService(part.service, part.weight) for part in row.split))
+    if row.service is None:
+        raise ValueError(f"route {row.name!r} names no service")
+    return ToService(row.service)
+
+
+def decode_target(name: str, value: bytes) -> RegisteredTarget:
+    """Decode the registration of a target; raises ``ValueError`` if it is malformed."""
+    row = msgspec.json.decode(value, type=_Registration)
+    host, colon, port = row.address.rpartition(":")
+    if not colon or not port.isdigit():
+        raise ValueError(f"got address {row.address!r}, expected HOST:PORT")
+    if row.state not in (_READY, _DRAINING):
+        raise ValueError(f"got state {row.state!r}, expected {_READY!r} or {_DRAINING!r}")
+    if row.slots < 1:
+        raise ValueError(f"got {row.slots} slots, expected at least 1")
+    target = Target(target_id_of(name, row.born), row.service, row.zone, host, int(port))
+    return RegisteredTarget(target, name, row.slots, row.state == _DRAINING)
--- /dev/null
+++ b/savoryarch/platform/_store.py
@@ -0,0 +1,170 @@
+"""The calls of the platform's key-value store."""
+
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+
+import msgspec
+
+from savoryarch.model import (
+    GrantLease,
+    KeepLease,
+    KeyAbsent,
+    KeyChange,
+    KeyRead,
+    KeysChanged,
+    KeysListed,
+    LeaseEnded,
+    LeaseGranted,
+    ListKeys,
+    PutLeased,
+    ReadKey,
+    StoreCall,
+    StoreLimited,
+    StoreReply,
+    StoreUnreachable,
+    SwapConflict,
+    SwapKey,
+    Swapped,
+    WatchCompacted,
+    WatchKeys,
+)
+from savoryarch.store import MorePages, StoreHttpReply, StoreHttpRequest
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 412
+_COMPACTED = 410
+_RATE_LIMITED = 429
+
+
+_EXPECTED: dict[type, tuple[int, ...]] = {
+    ReadKey: (_OK, _NOT_FOUND),
+    WatchKeys: (_OK, _COMPACTED),
+    SwapKey: (_OK, _CONFLICT),
+    PutLeased: (_OK, _NOT_FOUND),
+    KeepLease: (_OK, _NOT_FOUND),
+}
+
+
+class _Item(msgspec.Struct, rename="kebab"):
+    key: str
+    revision: int
+    value: str = ""
+    deleted: bool = False
+
+
+class _Body(msgspec.Struct, rename="kebab"):
+    # Revision of the store as a whole; `revision` is that of the last change of a key.
+    store_revision: int = 0
+    revision: int = 0
+    value: str = ""
+    lease: int = 0
+    ttl_ms: float = 0.0
+    has_more: bool = False
+    items: tuple[_Item, ...] = ()
+    events: tuple[_Item, ...] = ()
+
+
+def encode_store_call(call: StoreCall, after_key: str) -> StoreHttpRequest:
+    """Encode a call; a list goes on after `after_key`."""
+    match call:
+        case ReadKey(key=key):
+            return StoreHttpRequest("GET", "/kv-key", (("key", key),))
+        case ListKeys(prefix=prefix):
+            after = (("after", after_key),) if after_key else ()
+            return StoreHttpRequest("GET", "/kv-range", (("path-prefix", prefix), *after))
+        case WatchKeys(prefix=prefix, since_revision=since_revision, wait_ms=wait_ms):
+            since = (("after", str(since_revision)), ("wait-ms", str(int(wait_ms))))
+            query = (("path-prefix", prefix), *since)
+            return StoreHttpRequest("GET", "/kv-watch", query, wait_ms=wait_ms)
+        case SwapKey(key=key, value=value, expected_revision=expected_revision):
+            expected = [{"key": key, "revision": expected_revision}]
+            return _transaction(expected, [{"key": key, "value": _encode(value)}])
+        case PutLeased(key=key, value=value, lease_id=lease_id):
+            return _transaction([], [{"key": key, "value": _encode(value), "lease": lease_id}])
+        case GrantLease(ttl_ms=ttl_ms):
+            return StoreHttpRequest("POST", "/kv-lease", body=_json({"ttl-ms": int(ttl_ms)}))
+        case KeepLease(lease_id=lease_id):
+            return StoreHttpRequest("POST", f"/kv-keep/{lease_id}")
+
+
+def decode_store_reply(call: StoreCall, reply: StoreHttpReply) -> StoreReply | MorePages:
+    """Decode the reply to a call; one that does not fit the call is `StoreUnreachable`."""
+    if reply.status == _RATE_LIMITED:
+        return StoreLimited()
+    try:
+        return _decode(call, reply)
+    except (msgspec.MsgspecError, Base64Error, ValueError) as error:
+        return StoreUnreachable(f"malformed reply: {error}")
+
+
+def _decode(call: StoreCall, reply: StoreHttpReply) -> StoreReply | MorePages:
+    if reply.status not in _EXPECTED.get(type(call), (_OK,)):
+        return StoreUnreachable(f"HTTP {reply.status}")
+    body = msgspec.json.decode(reply.body or b"{}", type=_Body)
+    match call:
+        case ReadKey(key=key):
+            return _decode_read(key, reply.status, body)
+        case ListKeys():
+            return _decode_list(body)
+        case WatchKeys() if reply.status == _COMPACTED:
+            return WatchCompacted(body.store_revision)
+        case WatchKeys():
+            return KeysChanged(tuple(map(_change, body.events)), body.store_revision)
+        case SwapKey(key=key) if reply.status == _CONFLICT:
+            return SwapConflict(key, body.items[0].revision if body.items else 0)
+        case SwapKey(key=key) | PutLeased(key=key) if reply.status == _OK:
+            return Swapped(key, body.revision)
+        case GrantLease() if reply.status == _OK:
+            return LeaseGranted(body.lease, body.ttl_ms)
+        case KeepLease(lease_id=lease_id) if reply.status == _OK:
+            return LeaseGranted(lease_id, body.ttl_ms)
+        case PutLeased() | KeepLease():
+            return LeaseEnded()
+        case _:
+            return StoreUnreachable(f"HTTP {reply.status}")
+
+
+def _decode_read(key: str, status: int, body: _Body) -> StoreReply:
+    if status == _NOT_FOUND:
+        return KeyAbsent(key, body.store_revision)
+    return KeyRead(key, _value(body.value), body.revision)
+
+
+def _decode_list(body: _Body) -> StoreReply | MorePages:
+    entries = tuple(
+        KeyRead(item.key, _lenient_value(item.value), item.revision) for item in body.items
+    )
+    if body.has_more and entries:
+        return MorePages(entries, body.store_revision, entries[-1].key)
+    return KeysListed(entries, body.store_revision)
+
+
+def _change(item: _Item) -> KeyChange:
+    value = None if item.deleted else _lenient_value(item.value)
+    return KeyChange(item.key, value, item.revision)
+
+
+def _lenient_value(text: str) -> bytes:
+    # One writer's undecodable value must not hide the entries of the others.
+    try:
+        return _value(text)
+    except (Base64Error, ValueError):
+        return text.encode()
+
+
+def _value(text: str) -> bytes:
+    return b64decode(text, validate=True)
+
+
+def _encode(value: bytes) -> str:
+    return b64encode(value).decode()
+
+
+def _transaction(expected: list[dict], puts: list[dict]) -> StoreHttpRequest:
+    body = _json({"expected-rev": expected, "puts": puts, "remove": []})
+    return StoreHttpRequest("POST", "/kv-txn", body=body)
+
+
+def _json(value: dict) -> bytes:
+    return msgspec.json.encode(value)
--- /dev/null
+++ b/savoryarch/platform/_wire.py
@@ -0,0 +1,192 @@
+"""The headers and statuses that clients and targets of the platform use."""
+
+from savoryarch.codec import HttpReply
+from savoryarch.front import ClientAnswer, ParsedRequest, UnusableRequest
+from savoryarch.model import (
+    AttemptReply,
+    MalformedReply,
+    Misdirected,
+    RefusalReason,
+    Refused,
+    ResponseReturned,
+    SendAttempt,
+    Shed,
+    Sign,
+    SnapshotId,
+    Target,
+)
+from savoryarch.model.forwarding import (
+    Fields,
+    ForwardedRequest,
+    ForwardOutcome,
+    PartsAnswered,
+    TargetAnswered,
+    Unanswered,
+)
+
+REQUEST_ID = "request-id"
+DEADLINE_MS = "deadline-ms"
+# The target's digest of its own response body, not a time stamp.
+DIGEST = "response-stamp"
+EXPECTED_TARGET = "expect-instance"
+NOT_RUN = "not-executed"
+_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_OWN_HEADERS = frozenset({DEADLINE_MS.encode(), EXPECTED_TARGET.encode()})
+_REFUSAL_STATUS = {RefusalReason.UNKNOWN_ROUTE: 404}
+_UNAVAILABLE_STATUS = 503
+_FAILED_STATUS = 502
+_TIMED_OUT_STATUS = 504
+_MISDIRECTED_STATUS = 421
+_FIRST_FAILURE_STATUS = 400
+_MS_PER_S = 1000.0
+_IDLE_SHARE = 0.8  # of the idle timeout that a target states; the rest covers the way to it
+_UNSTATED_IDLE_MS = 4000.0  # reuse of a connection whose target states no idle timeout
+
+
+class PlatformDialect:
+    """The protocol of the platform's targets."""
+
+    connect_timeout_ms = 250.0
+    probes_by_connecting = True
+    doubts_every_close = False
+
+    def encode_attempt(self, send: SendAttempt, target: Target, left_ms: float) -> bytes:
+        """Return the request of an attempt."""
+        request = send.request
+        assert isinstance(request, ForwardedRequest)
+        lines = [request.method + b" " + request.path + b" HTTP/1.1"]
+        lines += [name + b": " + value for name, value in request.headers]
+        lines.append(f"{DEADLINE_MS}: {max(1, int(left_ms))}".encode())
+        lines.append(f"{EXPECTED_TARGET}: {registered_name(send.target_id)}".encode())
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            lines.append(b"content-length: %d" % len(request.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+    def recognises(self, reply: HttpReply, send: SendAttempt) -> bool:
+        """Return whether a reply belongs to an attempt; refusals need not repeat the id."""
+        assert isinstance(send.request, ForwardedRequest)
+        echoed = reply.header(REQUEST_ID)
+        if not echoed:
+            return _is_not_run(reply)
+        return echoed == send.request.client_request_id
+
+    def decode_attempt(
+        self, reply: HttpReply, send: SendAttempt
+    ) -> tuple[AttemptReply, tuple[SnapshotId, ...], float | None]:
+        """Return the reply; the load report is not used, limits follow sheds and latency."""
+        return _decode(reply), (), None
+
+    def encode_cancel(self, attempt_id: str, host: str) -> bytes | None:
+        """Return None: targets drop a request when its connection closes."""
+        return None
+
+    def encode_probe(self, host: str) -> bytes:
+        """Return a question for the target's health."""
+        return f"GET /health HTTP/1.1\r\nhost: {host}\r\n\r\n".encode()
+
+    def decode_probe(self, reply: HttpReply) -> tuple[Sign, tuple[SnapshotId, ...]]:
+        """Return what the health endpoint says."""
+        return (Sign.PROBE_ANSWERED if reply.status == 200 else Sign.PROBE_FAILED), ()
+
+    def idle_limit_ms(self, reply: HttpReply) -> float:
+        """Return how long the connection may be reused after a reply."""
+        for word in reply.header("keep-alive").split(","):
+            name, _, value = word.strip().partition("=")
+            if name.lower() == "timeout" and value.strip().isdigit():
+                return float(value) * _MS_PER_S * _IDLE_SHARE
+        return _UNSTATED_IDLE_MS
+
+
+def target_id_of(name: str, born_ms: int) -> str:
+    """Return the id of one start of a target."""
+    return f"{name}@{born_ms}"
+
+
+def registered_name(target_id: str) -> str:
+    """Return the name that a target registered with."""
+    return target_id.rpartition("@")[0]
+
+
+def _is_not_run(reply: HttpReply) -> bool:
+    return bool(reply.header(NOT_RUN)) or reply.status == _MISDIRECTED_STATUS
+
+
+def _decode(reply: HttpReply) -> AttemptReply:
+    if reply.status == _MISDIRECTED_STATUS:
+        return Misdirected()
+    if reply.header(NOT_RUN):
+        return Shed()
+    digest = reply.header(DIGEST)
+    if reply.status < _FIRST_FAILURE_STATUS:
+        if not digest:
+            return MalformedReply(f"got status {reply.status} without a digest")
+        if reply.header("content-encoding"):
+            return MalformedReply("got an encoded body, which was not asked for")
+    return ResponseReturned(reply.status, _passed_on(reply.fields), reply.body, digest)
+
+
+def _passed_on(fields: Fields) -> Fields:
+    return tuple((name, value) for name, value in fields if name.lower() not in _HOP_HEADERS)
+
+
+def read_request(parsed: ParsedRequest) -> tuple[ForwardedRequest, float | None] | UnusableRequest:
+    """Return a client's request and how long the client waits, or what is wrong with it."""
+    request_id = parsed.header(REQUEST_ID)
+    if not request_id:
+        return UnusableRequest(400, "missing_request_id", f"header {REQUEST_ID} is missing")
+    left_text = parsed.header(DEADLINE_MS)
+    left_ms: float | None = None
+    if left_text:
+        if not left_text.isdigit():
+            detail = f"got {DEADLINE_MS} {left_text!r}, expected whole milliseconds"
+            return UnusableRequest(400, "malformed_deadline", detail)
+        left_ms = float(left_text)
+    headers = tuple(
+        (name, value)
+        for name, value in _passed_on(parsed.headers)
+        if name.lower() not in _OWN_HEADERS
+    )
+    request = ForwardedRequest(
+        client_request_id=request_id,
+        method=parsed.method,
+        path=parsed.path,
+        host=parsed.header("host"),
+        headers=headers,
+        body=parsed.body,
+    )
+    return request, left_ms
+
+
+def write_outcome(outcome: ForwardOutcome) -> ClientAnswer:
+    """Return the answer to a client."""
+    match outcome:
+        case TargetAnswered(status=status, headers=headers, body=body):
+            return ClientAnswer(status, headers, body)
+        case PartsAnswered(digests=digests, missing=missing, body=body):
+            fields: Fields = (
+                (b"Part-Stamps", ", ".join(digests).encode()),
+                (b"Missing-Parts", str(missing).encode()),
+            )
+            return ClientAnswer(200, fields, body)
+        case Refused(reason=reason, detail=detail, retry_after_ms=retry_after_ms):
+            status = _REFUSAL_STATUS.get(reason, _UNAVAILABLE_STATUS)
+            fields = ()
+            if retry_after_ms is not None and status == _UNAVAILABLE_STATUS:
+                fields = ((b"Retry-After", f"{retry_after_ms / _MS_PER_S:.3f}".encode()),)
+            return ClientAnswer(status, fields, detail.encode())
+        case Unanswered(timed_out=timed_out, detail=detail):
+            return ClientAnswer(
+                _TIMED_OUT_STATUS if timed_out else _FAILED_STATUS, (), detail.encode()
+            )
--- a/savoryarch/quarantine/__init__.py
+++ b/savoryarch/quarantine/__init__.py
@@ -25,6 +25,7 @@
 After the quarantine the request is a suspect again: one crash more quarantines it at once.
 """
 
+from savoryarch.quarantine._attempts import note_attempt_ended
 from savoryarch.quarantine._decide import (
     Alone,
     Clear,
@@ -59,6 +60,7 @@
     "judge_attempt",
     "judge_request",
     "make_quarantine_state",
+    "note_attempt_ended",
     "note_crash",
     "note_ended",
     "note_started",
--- a/savoryarch/search/_decide.py
+++ b/savoryarch/search/_decide.py
@@ -23,7 +23,7 @@
     TellPeer,
     TimerFired,
 )
-from savoryarch.quarantine import declared, fingerprint_of, hear_peer
+from savoryarch.quarantine import declared, fingerprint_of, hear_peer, note_attempt_ended
 from savoryarch.search._admit import (
     ADMISSION_TIMER,
     offer_query,
@@ -36,7 +36,7 @@
     resume_waiting,
     step_attempt,
 )
-from savoryarch.search._guard import is_suspect, note_reply, quarantined_for_ms
+from savoryarch.search._guard import is_suspect, quarantined_for_ms
 from savoryarch.search._query_chart import (
     DUE_TIMER,
     EARLY_TIMER,
@@ -255,7 +255,7 @@
 ) -> DecidedSearch:
     """Give the place back, let the query use the reply if it still wants it, fill the place."""
     attempt = state.attempts[ended.attempt_id]
-    noted = note_reply(state.quarantine, ended, now_ms)
+    noted = note_attempt_ended(state.quarantine, ended, now_ms)
     attempts = state.attempts.delete(ended.attempt_id)
     state = replace(state, attempts=attempts, quarantine=noted.state)
     targets = end_attempt(targets, ended, now_ms - attempt.begun_at_ms, now_ms)
--- a/savoryarch/search/_guard.py
+++ b/savoryarch/search/_guard.py
@@ -1,14 +1,11 @@
 """Keeps queries that crash targets away from them, through `savoryarch.quarantine`."""
 
-from savoryarch.model import AttemptEnded, ConnectionLost, Decided, PartReturned, TargetFailed
 from savoryarch.quarantine import (
     Clear,
     Quarantined,
     QuarantineState,
     judge_attempt,
     judge_request,
-    note_crash,
-    note_ended,
     note_started,
 )
 from savoryarch.search._state import Attempt, SearchState
@@ -46,16 +43,3 @@
         attempt.target_id,
         turn.query.fingerprint,
     )
-
-
-def note_reply(
-    quarantine: QuarantineState, ended: AttemptEnded, now_ms: float
-) -> Decided[QuarantineState]:
-    """Note the end of an attempt, and blame what was in flight if its target crashed."""
-    effects: tuple[object, ...] = ()
-    if isinstance(ended.reply, ConnectionLost):
-        crashed = note_crash(quarantine, ended.target_id, now_ms)
-        quarantine, effects = crashed.state, crashed.effects
-    replied = isinstance(ended.reply, PartReturned | TargetFailed)
-    noted = note_ended(quarantine, ended.attempt_id, ended.target_id, replied=replied)
-    return Decided(noted.state, effects + noted.effects)
--- a/savoryarch/search/_query_chart.py
+++ b/savoryarch/search/_query_chart.py
@@ -18,7 +18,6 @@
     SearchAnswered,
     SetTimer,
 )
-from savoryarch.search._budget import Budget, earn
 from savoryarch.search._guard import may_run_at
 from savoryarch.search._sending import (
     SLOW_TIMER,
@@ -35,7 +34,7 @@
 from savoryarch.search._state import Purpose, Shard
 from savoryarch.search._turn import Turn, emit
 from savoryarch.targets import can_serve, trial_target
-from savoryarch.utils import in_order
+from savoryarch.utils import Budget, earn, in_order
 
 DUE_TIMER = "search/due/"
 EARLY_TIMER = "search/early/"
--- a/savoryarch/search/_sending.py
+++ b/savoryarch/search/_sending.py
@@ -11,12 +11,12 @@
     SetTimer,
     SnapshotId,
 )
-from savoryarch.search._budget import Budget, spend
 from savoryarch.search._guard import may_run_at, note_sent
 from savoryarch.search._settings import FixedDelayHedging, NoHedging, QuantileHedging
 from savoryarch.search._state import Attempt, Purpose, SearchState, Shard
 from savoryarch.search._turn import Turn, emit, put_shard
 from savoryarch.targets import begin_attempt, choose_target, is_suspect
+from savoryarch.utils import Budget, spend
 
 ROOM_TIMER = "search/room/"
 SLOW_TIMER = "search/slow/"
--- a/savoryarch/search/_state.py
+++ b/savoryarch/search/_state.py
@@ -22,8 +22,8 @@
     QuarantineState,
     make_quarantine_state,
 )
-from savoryarch.search._budget import Budget
 from savoryarch.search._settings import SearchSettings
+from savoryarch.utils import Budget
 
 _ADMISSION = AdmissionSettings()
 _QUARANTINE = QuarantineSettings()
--- a/savoryarch/settings/_access.py
+++ b/savoryarch/settings/_access.py
@@ -38,7 +38,7 @@
         missing = next(name for name in files if name not in given)
         yield Finding(place_of(section, given[0]), f"expected {missing} as well")
     yield from _check_files(peers, files, section)
-    if not ip_address(peers.host).is_loopback:
+    if not ip_address(peers.host).is_loopback and not peers.private_network:
         wanted = [name for name in files if not getattr(peers, name)]
         yield from _check_wanted(peers.host, wanted, section)
 
--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -6,7 +6,9 @@
 
 from savoryarch.admission import AdmissionSettings
 from savoryarch.configuration import ConfigurationSettings
+from savoryarch.discovery import DiscoverySettings
 from savoryarch.exceptions import FindingsError
+from savoryarch.forwarding import ForwardingSettings
 from savoryarch.membership import MembershipSettings
 from savoryarch.notices import NoticesSettings
 from savoryarch.orders import OrdersSettings
@@ -15,6 +17,7 @@
 from savoryarch.settings._access import check_access
 from savoryarch.settings._sections import (
     CallersSettings,
+    FrontSettings,
     InstanceSettings,
     LogSettings,
     OperatorsSettings,
@@ -56,6 +59,9 @@
     shutdown: ShutdownSettings
     configuration: ConfigurationSettings
     notices: NoticesSettings
+    front: FrontSettings
+    forwarding: ForwardingSettings
+    discovery: DiscoverySettings
 
 
 SECTIONS: dict[str, type] = {name: kind for name, kind in get_type_hints(Settings).items()}
--- a/savoryarch/settings/_sections.py
+++ b/savoryarch/settings/_sections.py
@@ -3,10 +3,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from savoryarch.utils import NAME, PORT, URL, Address, OneOf, Text, Words, setting
+from savoryarch.utils import NAME, PORT, URL, Address, OneOf, Switch, Text, Words, setting
 
 LOOPBACK = "127.0.0.1"
 TOKEN_HASHES = Words(r"[0-9a-f]{64}", "the token_hash that 'savoryarch token' writes")
+SOCKET = Text(r"[0-9.]+:[0-9]{1,5}", "127.0.0.1:8083")
 FILE = Text(r"\S.*", "/etc/savoryarch/operators.pem")
 
 
@@ -57,6 +58,11 @@
 
     host: str = setting(Address(), "IP number to listen on", LOOPBACK)
     port: int = setting(PORT, "TCP port for peers; 0 takes a free one", 8082)
+    private_network: bool = setting(
+        Switch(),
+        "whether only entry instances reach this address, so that peers need no certificates",
+        False,
+    )
     tls_certificate_file: str = setting(
         FILE, "certificate and private key of this instance in one file, PEM", ""
     )
@@ -68,6 +74,14 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class FrontSettings:
+    """Where clients whose requests are forwarded reach this instance."""
+
+    address: str = setting(SOCKET, "where clients' requests are taken", "127.0.0.1:0")
+    ready_address: str = setting(SOCKET, "where questions of readiness are taken", "127.0.0.1:0")
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
     """Where the platform's services are; without them the instance runs alone, for a trial."""
--- a/savoryarch/shutdown/_decide.py
+++ b/savoryarch/shutdown/_decide.py
@@ -14,12 +14,16 @@
     NewWorkEnded,
     SetReadiness,
     SetTimer,
+    SettingsReloaded,
     Started,
     StopAsked,
     TimerFired,
     UnfinishedChanged,
 )
-from savoryarch.utils import Number, setting
+from savoryarch.model.forwarding import (
+    TargetsKnown,
+)
+from savoryarch.utils import Number, Switch, setting
 
 LAG_TIMER = "shutdown/lag"
 DEADLINE_TIMER = "shutdown/deadline"
@@ -42,6 +46,12 @@
         "Time in ms after which a shutdown ends and cuts what is unfinished.",
         60_000.0,
     )
+    kill_margin_ms: float = setting(
+        Number(0, 60_000), "Time in ms before that deadline at which the process ends.", 0.0
+    )
+    await_targets: bool = setting(
+        Switch(), "Whether the instance is ready only when it knows routes and targets.", False
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,8 +81,12 @@
 def decide_shutdown(state: ShutdownState, event: object, now_ms: float) -> Decided[ShutdownState]:
     """Decide on signals, the timers of the shutdown and the count of unfinished requests."""
     match event:
-        case Started():
+        case Started() if not state.settings.await_targets:
+            return Decided(state, (SetReadiness(True),))
+        case TargetsKnown() if state.chart_state == _CHART.initial:
             return Decided(state, (SetReadiness(True),))
+        case SettingsReloaded(sections={"shutdown": ShutdownSettings() as settings}):
+            return Decided(replace(state, settings=settings))
         case StopAsked():
             return _step(state, "stop_asked", now_ms)
         case TimerFired(timer_id) if timer_id == LAG_TIMER:
@@ -112,7 +126,9 @@
         case "start_lag":
             return (SetTimer(LAG_TIMER, now_ms + state.settings.balancer_lag_ms),)
         case "start_deadline":
-            return (SetTimer(DEADLINE_TIMER, now_ms + state.settings.shutdown_deadline_ms),)
+            settings = state.settings
+            left_ms = settings.shutdown_deadline_ms - settings.kill_margin_ms
+            return (SetTimer(DEADLINE_TIMER, now_ms + left_ms),)
         case "end_new_work":
             return (Inform(NewWorkEnded()), LogEvent("new_work_ended"))
         case "exit":
--- a/savoryarch/targets/_attempts.py
+++ b/savoryarch/targets/_attempts.py
@@ -9,8 +9,10 @@
     DeadlinePassed,
     Draining,
     MalformedReply,
+    Misdirected,
     NotSent,
     PartReturned,
+    ResponseReturned,
     RouteReturned,
     Shed,
     SnapshotId,
@@ -18,12 +20,14 @@
     TargetFailed,
     TimedOut,
 )
+from savoryarch.targets._failures import FAILURE_WEIGHT, add_failure
 from savoryarch.targets._latency import add_latency, add_to_recent
 from savoryarch.targets._life import apply_sign, put_record
 from savoryarch.targets._limits import is_suspect, lowered_limit, raised_limit
 from savoryarch.targets._state import ServiceRecord, TargetRecord, TargetsState, TargetUse
 
 _LEAST_SAMPLES = 20
+_FIRST_FAILURE_STATUS = 500
 _CERTAIN_RATIO = 1.4  # of the tail; so late is an attempt at a healthy target very rarely
 
 
@@ -105,7 +109,9 @@
     if record is None:
         return state  # no longer declared
     match ended.reply:
-        case PartReturned() | RouteReturned():
+        case ResponseReturned(status=status) if status >= _FIRST_FAILURE_STATUS:
+            state = _learn_failure(state, record, now_ms)
+        case PartReturned() | RouteReturned() | ResponseReturned():
             state = _learn_success(state, record, latency_ms, now_ms)
         case TimedOut() | DeadlinePassed() | Cancelled():
             state = _learn_bound(state, record, latency_ms, now_ms)
@@ -143,6 +149,8 @@
         others_at_ms=old.others_at_ms,
         overdue=0 if latency_ms <= service.histogram.tail_ms else old.overdue,
         overdue_at_ms=now_ms if is_suspect(old) else old.overdue_at_ms,
+        failing=old.failing * (1.0 - FAILURE_WEIGHT),
+        failing_at_ms=old.failing_at_ms,
     )
     service = replace(service, histogram=add_latency(service.histogram, latency_ms))
     return replace(
@@ -167,15 +175,27 @@
     return replace(state, services=state.services.set(record.target.service, service))
 
 
+def _learn_failure(state: TargetsState, record: TargetRecord, now_ms: float) -> TargetsState:
+    """Learn from a failure of the target's own, which is often quicker than a reply."""
+    use = add_failure(_given_back(state, record), state.settings, now_ms)
+    return _put_use(state, record, replace(use, replied_at_ms=now_ms))
+
+
 def _learn_shed(
     state: TargetsState, record: TargetRecord, retry_after_ms: float | None, now_ms: float
 ) -> TargetsState:
     use = _given_back(state, record)
     others = float(max(0, record.slots - use.in_flight))
-    use = replace(use, limit=lowered_limit(use), others=others, others_at_ms=now_ms)
+    usual_ms = state.services[record.target.service].histogram.median_ms
+    use = replace(
+        use,
+        limit=lowered_limit(use),
+        others=others,
+        others_at_ms=now_ms,
+    )
+    use = add_failure(use, state.settings, now_ms)
     state = _put_use(state, record, use)
     pause_ms = state.settings.shed_pause_ms if retry_after_ms is None else max(0.0, retry_after_ms)
-    usual_ms = state.services[record.target.service].histogram.median_ms
     if usual_ms > 0.0:
         pause_ms = min(pause_ms, usual_ms / record.slots)  # until a slot is likely to be free
     paused_until_at_ms = max(record.paused_until_at_ms, now_ms + pause_ms)
@@ -202,11 +222,14 @@
             return "draining"
         case ConnectionLost():
             return "closed"
+        case Misdirected():
+            return "lost"
         case (
             # a refused connection is signed by itself; a connection that was not free is no sign
             NotSent()
             | PartReturned()
             | RouteReturned()
+            | ResponseReturned()
             | Shed()
             | SnapshotNotServed()
             | DeadlinePassed()
--- a/savoryarch/targets/_choose.py
+++ b/savoryarch/targets/_choose.py
@@ -1,6 +1,7 @@
 """Chooses the target of an attempt."""
 
 from savoryarch.model import SnapshotId
+from savoryarch.targets._failures import FAILURE_COST, failing_share
 from savoryarch.targets._latency import expected_latency_ms
 from savoryarch.targets._life import LIVE, may_serve
 from savoryarch.targets._limits import in_flight_limit, is_suspect
@@ -135,7 +136,10 @@
             busy = use.in_flight + _others_in_flight(use, usual_ms, now_ms)
             busy_ms = usual_ms * busy / record.slots
             near = record.target.availability_zone == settings.availability_zone
-            return slow_ms + busy_ms + (0.0 if near else settings.zone_distance_ms)
+            failing_ms = 0.0
+            if use.failing:
+                failing_ms = usual_ms * FAILURE_COST * failing_share(use, settings, now_ms)
+            return slow_ms + failing_ms + busy_ms + (0.0 if near else settings.zone_distance_ms)
 
 
 def _others_in_flight(use: TargetUse, usual_ms: float, now_ms: float) -> float:
--- a/savoryarch/targets/_settings.py
+++ b/savoryarch/targets/_settings.py
@@ -58,6 +58,9 @@
     slow_half_life_ms: float = setting(
         Number(10.0, 600_000.0), "Time after which a slow target is half forgiven.", 1000.0
     )
+    failing_half_life_ms: float = setting(
+        Number(10.0, 600_000.0), "Time after which failures of a target are half forgotten.", 4000.0
+    )
     trial_interval_ms: float = setting(
         Number(10.0, 600_000.0), "Time between trials of a slow target.", 500.0
     )
--- a/savoryarch/targets/_state.py
+++ b/savoryarch/targets/_state.py
@@ -72,6 +72,8 @@
         Times that its attempts were found overdue since a timely reply.
     overdue_at_ms : float
         The last such time.
+    failing, failing_at_ms : float
+        Share of its attempts that it refused or failed of late, and when it last did.
     """
 
     in_flight: int = 0
@@ -83,6 +85,8 @@
     others_at_ms: float = float("-inf")
     overdue: int = 0
     overdue_at_ms: float = float("-inf")
+    failing: float = 0.0
+    failing_at_ms: float = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/tier/_decide.py
+++ b/savoryarch/tier/_decide.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 
 from savoryarch.configuration import decide_configuration
+from savoryarch.discovery import decide_discovery
+from savoryarch.forwarding import decide_forwarding, unfinished_forwards
 from savoryarch.membership import decide_membership
 from savoryarch.model import (
     AttemptEnded,
@@ -22,6 +24,9 @@
     TimerFired,
     UnfinishedChanged,
 )
+from savoryarch.model.forwarding import (
+    ForwardAsked,
+)
 from savoryarch.notices import OBSERVE_TIMER, TierObserved, decide_notices, observe
 from savoryarch.orders import decide_orders
 from savoryarch.orders import unfinished_requests as unfinished_orders
@@ -88,12 +93,14 @@
             return (_search,)
         case RouteAsked():
             return (_orders,)
+        case ForwardAsked():
+            return (_forwarding,)
         case ChangeAsked() | StatusAsked():
             return (_configuration,)
         case RaiseNotice() | ClearNotice():
             return (_notices,)
         case TargetSigned():
-            return (_targets, _search, _orders)
+            return (_targets, _search, _orders, _forwarding)
         case UnfinishedChanged():
             return (_shutdown,)
         case _:
@@ -104,7 +111,11 @@
     # Only the shutdown asks, so that requests do not pay for it in ordinary times.
     if state.shutdown.chart_state == _RUNNING:
         return None
-    unfinished = unfinished_searches(state.search) + unfinished_orders(state.orders)
+    unfinished = (
+        unfinished_searches(state.search)
+        + unfinished_orders(state.orders)
+        + unfinished_forwards(state.forwarding)
+    )
     return None if unfinished == state.unfinished_ids else UnfinishedChanged(unfinished)
 
 
@@ -125,6 +136,17 @@
     return Decided(changed, decided.effects)
 
 
+def _forwarding(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    decided = decide_forwarding(state.forwarding, state.targets, event, now_ms)
+    changed = replace(state, forwarding=decided.state, targets=decided.targets)
+    return Decided(changed, decided.effects)
+
+
+def _discovery(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    decided = decide_discovery(state.discovery, event, now_ms)
+    return Decided(replace(state, discovery=decided.state), decided.effects)
+
+
 def _configuration(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
     decided = decide_configuration(state.configuration, event, now_ms)
     return Decided(replace(state, configuration=decided.state), decided.effects)
@@ -158,6 +180,8 @@
     "targets": _targets,
     "search": _search,
     "orders": _orders,
+    "forwarding": _forwarding,
+    "discovery": _discovery,
     "configuration": _configuration,
     "membership": _membership,
     "shutdown": _shutdown,
--- a/savoryarch/tier/_state.py
+++ b/savoryarch/tier/_state.py
@@ -8,6 +8,14 @@
     ConfigurationState,
     make_configuration_state,
 )
+from savoryarch.discovery import (
+    DiscoverySettings,
+    DiscoveryState,
+    EntryCodec,
+    make_discovery_state,
+    no_codec,
+)
+from savoryarch.forwarding import ForwardingSettings, ForwardingState, make_forwarding_state
 from savoryarch.membership import MembershipSettings, MembershipState, make_membership_state
 from savoryarch.model import RecordCodec
 from savoryarch.notices import NoticesSettings, NoticesState
@@ -46,6 +54,8 @@
     configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
     membership: MembershipSettings = field(default_factory=MembershipSettings)
     shutdown: ShutdownSettings = field(default_factory=ShutdownSettings)
+    forwarding: ForwardingSettings = field(default_factory=ForwardingSettings)
+    discovery: DiscoverySettings = field(default_factory=DiscoverySettings)
     peer_host: str = "127.0.0.1"
     peer_port: int = 0
 
@@ -71,11 +81,15 @@
     configuration: ConfigurationState
     membership: MembershipState
     shutdown: ShutdownState
+    forwarding: ForwardingState
+    discovery: DiscoveryState
     notices: NoticesState = field(default_factory=NoticesState)
     unfinished_ids: tuple[str, ...] = ()
 
 
-def make_tier_state(settings: TierSettings, record_codec: RecordCodec) -> TierState:
+def make_tier_state(
+    settings: TierSettings, record_codec: RecordCodec, entry_codec: EntryCodec | None = None
+) -> TierState:
     """Make the state of an instance that has not started yet.
 
     Parameters
@@ -84,6 +98,8 @@
         The settings.
     record_codec : RecordCodec
         How records of the configuration become bytes.
+    entry_codec : EntryCodec, optional
+        How entries that are discovered in the store are read.
     """
     return TierState(
         settings=settings,
@@ -97,5 +113,7 @@
             settings.membership, settings.peer_host, settings.peer_port
         ),
         shutdown=make_shutdown_state(settings.shutdown),
+        forwarding=make_forwarding_state(settings.forwarding, settings.quarantine),
+        discovery=make_discovery_state(settings.discovery, entry_codec or no_codec()),
         notices=NoticesState(settings.notices),
     )
--- a/savoryarch/utils/__init__.py
+++ b/savoryarch/utils/__init__.py
@@ -1,5 +1,6 @@
 """Small helpers that every other subpackage may use."""
 
+from savoryarch.utils._budget import Budget, earn, spend
 from savoryarch.utils._clock import Clock, make_system_clock, make_wall_clock
 from savoryarch.utils._findings import Finding, Place, format_findings
 from savoryarch.utils._heap import Heap, heap_pop, heap_push
@@ -25,6 +26,9 @@
 )
 
 __all__ = [
+    "Budget",
+    "earn",
+    "spend",
     "NAME",
     "PORT",
     "URL",
