--- /dev/null
+++ b/savoryarch/discovery/tests/test_discovery.py
@@ -0,0 +1,279 @@
+"""What this instance believes from the store, while the store and its writers fail."""
+
+import pytest
+
+from savoryarch.discovery import DiscoverySettings, EntryCodec, Malformed, Unrelated
+from savoryarch.discovery._decide import (
+    CHANGES_CALL,
+    GRANT_CALL,
+    KEEP_CALL,
+    LEASE_TIMER,
+    LIST_CALL,
+    POLL_TIMER,
+    PUT_CALL,
+    decide_discovery,
+    make_discovery_state,
+)
+from savoryarch.model import (
+    DeclarationsInForce,
+    GrantLease,
+    Inform,
+    InstancesListed,
+    KeepLease,
+    KeyChange,
+    KeyRead,
+    KeysChanged,
+    KeysListed,
+    LeaseEnded,
+    LeaseGranted,
+    ListKeys,
+    LogEvent,
+    PutLeased,
+    SetTimer,
+    Sign,
+    Started,
+    StoreLimited,
+    StoreReplied,
+    StoreUnreachable,
+    Swapped,
+    Target,
+    TargetSigned,
+    TimerFired,
+    WatchCompacted,
+    WatchKeys,
+)
+from savoryarch.model.forwarding import (
+    ForwardingTable,
+    RegisteredInstance,
+    RegisteredTarget,
+    TableInForce,
+    TargetsKnown,
+)
+
+LOST = StoreUnreachable("connection lost")
+GRACE_MS = DiscoverySettings().lapse_grace_ms
+
+
+def decode(key, value):
+    """Read entries such as b'live', b'draining' and b'7', for tests."""
+    text = value.decode()
+    if key == "table":
+        return ForwardingTable(int(text), ()) if text.isdigit() else Malformed("no version")
+    if key.startswith("t/"):
+        if text not in ("live", "draining"):
+            return Malformed(f"got state {text!r}")
+        target = Target(key, "shop", "zone-a", "127.0.0.1", 1)
+        return RegisteredTarget(target, key, 2, text == "draining")
+    if key.startswith("i/"):
+        return RegisteredInstance(key, "zone-a", "127.0.0.1", 2)
+    return Unrelated()
+
+
+class World:
+    """The discovery of one instance."""
+
+    def __init__(self):
+        codec = EntryCodec(decode, lambda instance: instance.instance_id.encode())
+        self.state = make_discovery_state(DiscoverySettings(enabled=True), codec)
+        self.now_ms = 0.0
+        self.effects = []
+
+    def feed(self, event):
+        decided = decide_discovery(self.state, event, self.now_ms)
+        self.state = decided.state
+        self.effects += decided.effects
+        return decided.effects
+
+    def start(self, **entries):
+        self.feed(Started("me", "zone-a", 1))
+        return self.list(**entries)
+
+    def list(self, **entries):
+        rows = tuple(
+            KeyRead(key.replace("_", "/"), value, 1) for key, value in sorted(entries.items())
+        )
+        return self.feed(StoreReplied(LIST_CALL, KeysListed(rows, 10)))
+
+    def change(self, *changes, revision=11):
+        """Poll, and let the store reply with changes."""
+        self.feed(TimerFired(POLL_TIMER))
+        rows = tuple(KeyChange(key, value, revision) for key, value in changes)
+        return self.feed(StoreReplied(CHANGES_CALL, KeysChanged(rows, revision)))
+
+    def fail(self):
+        self.feed(TimerFired(POLL_TIMER))
+        return self.feed(StoreReplied(CHANGES_CALL, LOST))
+
+    def targets(self):
+        """Return the targets of the last declaration."""
+        declared = [
+            item.event.declarations
+            for item in self.effects
+            if isinstance(item, Inform) and isinstance(item.event, DeclarationsInForce)
+        ]
+        services = declared[-1].services.values() if declared else ()
+        return sorted(target.target_id for service in services for target in service.targets)
+
+    def informed(self, kind):
+        return [
+            item.event
+            for item in self.effects
+            if isinstance(item, Inform) and isinstance(item.event, kind)
+        ]
+
+
+@pytest.mark.parametrize(
+    ("entries", "targets", "known"),
+    [
+        ({"table": b"1", "t_a": b"live"}, ["t/a"], True),
+        ({"table": b"1"}, [], False),
+        ({"t_a": b"live"}, ["t/a"], False),
+        ({"table": b"1", "t_a": b"live", "t_b": b"?", "other": b"x"}, ["t/a"], True),
+        ({"table": b"x", "t_a": b"live"}, ["t/a"], False),
+    ],
+)
+def test_a_list_names_the_usable_targets(entries, targets, known):
+    world = World()
+    world.start(**entries)
+    assert world.targets() == targets
+    assert bool(world.informed(TargetsKnown)) == known
+
+
+@pytest.mark.parametrize(
+    ("changes", "targets"),
+    [
+        ([("t/b", b"live")], ["t/a", "t/b"]),
+        ([("t/b", b"broken")], ["t/a"]),
+        ([("t/a", b"broken")], []),
+        ([("t/a", None)], []),
+        ([("t/a", None), ("t/a", b"live")], ["t/a"]),
+        ([("t/a", b"draining")], ["t/a"]),
+    ],
+)
+def test_changes_are_taken_over_in_their_order(changes, targets):
+    world = World()
+    world.start(table=b"1", t_a=b"live")
+    world.change(*changes)
+    assert world.targets() == targets
+
+
+def test_a_draining_target_is_told_once():
+    world = World()
+    world.start(table=b"1", t_a=b"live")
+    world.change(("t/a", b"draining"))
+    world.change(("t/a", b"draining"), revision=12)
+    assert world.informed(TargetSigned) == [TargetSigned("t/a", Sign.LISTED_LEAVING)]
+
+
+@pytest.mark.parametrize(
+    ("versions", "taken"), [([b"2", b"1"], [1, 2]), ([b"3", b"x", b"4"], [1, 3, 4]), ([b"1"], [1])]
+)
+def test_a_table_is_only_replaced_by_a_newer_one(versions, taken):
+    world = World()
+    world.start(table=b"1", t_a=b"live")
+    for number, version in enumerate(versions):
+        world.change(("table", version), revision=11 + number)
+    assert [event.table.version for event in world.informed(TableInForce)] == taken
+
+
+@pytest.mark.parametrize(
+    ("outage", "wait_ms", "targets"),
+    [
+        (False, 0.0, []),
+        (True, 0.0, ["t/a"]),
+        (True, GRACE_MS - 1.0, ["t/a"]),
+        (True, GRACE_MS + 1.0, []),
+    ],
+)
+def test_a_target_that_lapsed_while_the_store_was_away_may_come_back(outage, wait_ms, targets):
+    world = World()
+    world.start(table=b"1", t_a=b"live")
+    if outage:
+        world.fail()
+    world.change(("t/a", None))
+    world.now_ms += wait_ms
+    world.change(revision=12)
+    assert world.targets() == targets
+
+
+def test_a_target_that_came_back_stays():
+    world = World()
+    world.start(table=b"1", t_a=b"live")
+    world.fail()
+    world.change(("t/a", None))
+    world.change(("t/a", b"live"), revision=12)
+    world.now_ms += 2 * GRACE_MS
+    world.change(revision=13)
+    assert world.targets() == ["t/a"]
+
+
+def test_a_forgotten_history_is_followed_by_a_new_list():
+    world = World()
+    world.start(table=b"1", t_a=b"live", t_b=b"live")
+    world.feed(TimerFired(POLL_TIMER))
+    effects = world.feed(StoreReplied(CHANGES_CALL, WatchCompacted(40)))
+    assert effects == (ListKeys(LIST_CALL, ""),)
+    world.list(table=b"1", t_b=b"live")
+    assert world.targets() == ["t/b"]
+
+
+@pytest.mark.parametrize("failures", [1, 4])
+def test_a_lost_store_is_told_once_and_asked_less_often(failures):
+    world = World()
+    world.start(table=b"1", t_a=b"live")
+    delays_ms = []
+    for _ in range(failures):
+        (timer,) = [item for item in world.fail() if isinstance(item, SetTimer)]
+        delays_ms.append(timer.at_ms - world.now_ms)
+    world.change()
+    names = [item.name for item in world.effects if isinstance(item, LogEvent)]
+    assert names.count("store_lost") == names.count("store_regained") == 1
+    assert delays_ms == [100.0, 200.0, 400.0, 800.0][:failures]
+
+
+def test_changes_are_read_from_the_revision_that_is_known():
+    world = World()
+    world.start(table=b"1", t_a=b"live")
+    assert world.feed(TimerFired(POLL_TIMER)) == (WatchKeys(CHANGES_CALL, "", 10, 1.0),)
+
+
+@pytest.mark.parametrize(
+    ("events", "last"),
+    [
+        ([], GrantLease),
+        ([(GRANT_CALL, LeaseGranted(7, 1.0))], PutLeased),
+        ([(GRANT_CALL, LeaseGranted(7, 1.0)), (PUT_CALL, Swapped("k", 1))], SetTimer),
+        ([(GRANT_CALL, LeaseGranted(7, 1.0)), (PUT_CALL, LeaseEnded())], GrantLease),
+        ([(GRANT_CALL, LeaseGranted(7, 1.0)), (KEEP_CALL, LeaseEnded())], GrantLease),
+        ([(GRANT_CALL, StoreLimited())], SetTimer),
+        ([(GRANT_CALL, LOST)], SetTimer),
+    ],
+)
+def test_an_instance_keeps_itself_registered(events, last):
+    world = World()
+    effects = world.feed(RegisteredInstance("me", "zone-a", "127.0.0.1", 2))
+    for call_id, reply in events:
+        effects = world.feed(StoreReplied(call_id, reply))
+    assert isinstance(effects[0], last)
+
+
+@pytest.mark.parametrize(
+    ("replies", "renewal"),
+    [
+        ([LeaseGranted(7, 1.0), Swapped("k", 1)], KeepLease(KEEP_CALL, 7)),
+        ([LeaseGranted(7, 1.0), LOST], GrantLease(GRANT_CALL, 10_000.0)),
+    ],
+)
+def test_a_registration_is_renewed_or_made_again(replies, renewal):
+    world = World()
+    world.feed(RegisteredInstance("me", "zone-a", "127.0.0.1", 2))
+    for reply in replies:
+        world.feed(StoreReplied(GRANT_CALL, reply))
+    assert world.feed(TimerFired(LEASE_TIMER)) == (renewal,)
+
+
+def test_registered_instances_are_told():
+    world = World()
+    world.start(table=b"1", i_b=b"x")
+    (listed,) = world.informed(InstancesListed)
+    assert [row.instance_id for row in listed.instances] == ["i/b"]
--- a/savoryarch/front/_parser.py
+++ b/savoryarch/front/_parser.py
@@ -53,6 +53,7 @@
         self.limits = limits
         self.wants_continue = False
         self._whole: list[ParsedRequest] = []
+        self._body_too_large = False
         self._start()
         self._parser = HttpRequestParser(self)
 
@@ -70,7 +71,7 @@
             return UnusableRequest(
                 431, "header_too_large", f"got over {self.limits.max_header_bytes} header bytes"
             )
-        if self._body_bytes > self.limits.max_body_bytes:
+        if self._body_too_large:
             return UnusableRequest(
                 413, "body_too_large", f"got over {self.limits.max_body_bytes} body bytes"
             )
@@ -119,8 +120,11 @@
 
     def on_body(self, data: bytes) -> None:
         """Take a piece of the body; called by the parser."""
-        self._body.append(data)
         self._body_bytes += len(data)
+        if self._body_bytes > self.limits.max_body_bytes:
+            self._body_too_large = True
+        else:
+            self._body.append(data)
 
     def on_message_complete(self) -> None:
         """End a request; called by the parser."""
--- /dev/null
+++ b/savoryarch/front/tests/test_front.py
@@ -0,0 +1,192 @@
+"""Connections of clients: what is taken, what is refused, and in which order answers leave."""
+
+import pytest
+from twisted.internet.error import ConnectionDone
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from savoryarch.front import ClientConnection, ClientDialect, Readiness
+from savoryarch.model import RefusalReason, Refused
+from savoryarch.model.forwarding import FrontLimits, TargetAnswered
+from savoryarch.platform import read_request, write_outcome
+
+LIMITS = FrontLimits(max_header_bytes=300, max_body_bytes=20)
+GET = b"GET /a/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n\r\n"
+
+
+def post(body, *headers):
+    lines = ["POST /a/ HTTP/1.1", "Host: h", "Request-Id: r1", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Owner:
+    """Stands for the front: keeps what was submitted."""
+
+    def __init__(self):
+        self.reactor = Clock()
+        self.dialect = ClientDialect(read_request, write_outcome)
+        self.submitted = []
+        self.answers = []
+        self.withdrawn = []
+        self.refusals = []
+        self.closing = False
+
+    def limits(self):
+        return LIMITS
+
+    def is_closing(self):
+        return self.closing
+
+    def submit(self, request, left_ms, answer):
+        self.submitted.append(request)
+        self.answers.append(answer)
+        return f"q{len(self.submitted)}"
+
+    def withdraw(self, request_id):
+        self.withdrawn.append(request_id)
+
+    def count_refusal(self, reason):
+        self.refusals.append(reason)
+
+    def forget(self, connection):
+        pass
+
+
+class Transport(StringTransport):
+    def setTcpNoDelay(self, enabled):
+        pass
+
+
+def connect():
+    owner = Owner()
+    connection = ClientConnection(owner)
+    connection.makeConnection(Transport())
+    return owner, connection
+
+
+def answered(body=b"ok"):
+    return TargetAnswered(200, ((b"X", b"1"),), body)
+
+
+def statuses(connection):
+    return [
+        int(part.split(b" ")[0]) for part in connection.transport.value().split(b"HTTP/1.1 ")[1:]
+    ]
+
+
+@pytest.mark.parametrize(
+    ("sent", "body"),
+    [
+        (GET, b""),
+        (post(b"hello", "Content-Length: 5"), b"hello"),
+        (post(b"5\r\nhello\r\n3\r\nabc\r\n0\r\n\r\n", "Transfer-Encoding: chunked"), b"helloabc"),
+    ],
+)
+@pytest.mark.parametrize("piece", [1, 7, 1000])
+def test_a_request_is_submitted_when_it_is_whole(sent, body, piece):
+    owner, connection = connect()
+    for start in range(0, len(sent), piece):
+        assert not owner.submitted
+        connection.dataReceived(sent[start : start + piece])
+    (request,) = owner.submitted
+    assert request.body == body
+    owner.answers[0](answered())
+    assert connection.transport.value() == b"HTTP/1.1 200 OK\r\nX: 1\r\ncontent-length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize(
+    ("sent", "status", "reason"),
+    [
+        (b"nonsense\r\n\r\n", 400, "malformed_request"),
+        (post(b"hello", "Content-Length: 5", "Content-Length: 6"), 400, "malformed_request"),
+        (
+            post(b"0\r\n\r\n", "Content-Length: 5", "Transfer-Encoding: chunked"),
+            400,
+            "malformed_request",
+        ),
+        (post(b"", "Content-Length: -1"), 400, "malformed_request"),
+        (post(b"x" * 30, "Content-Length: 30"), 413, "body_too_large"),
+        (b"GET /a/ HTTP/1.1\r\nX: " + b"x" * 400, 431, "header_too_large"),
+        (b"GET /a/ HTTP/1.1\r\nRequest-Id: r\r\n\r\n", 400, "malformed_host"),
+        (b"GET /a/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400, "malformed_host"),
+    ],
+)
+def test_what_cannot_be_forwarded_is_refused_and_closed(sent, status, reason):
+    owner, connection = connect()
+    connection.dataReceived(sent)
+    assert statuses(connection) == [status]
+    assert connection.transport.disconnecting
+    assert owner.refusals == [reason]
+    assert not owner.submitted
+
+
+def test_requests_sent_ahead_are_answered_in_order_one_at_a_time():
+    owner, connection = connect()
+    connection.dataReceived(GET + GET.replace(b"/a/1", b"/a/2") + GET[:10])
+    connection.dataReceived(GET[10:].replace(b"r1", b"r3"))
+    for number in range(3):
+        assert len(owner.submitted) == number + 1
+        owner.answers[number](answered(b"%d" % number))
+    assert [request.client_request_id for request in owner.submitted] == ["r1", "r1", "r3"]
+    assert statuses(connection) == [200, 200, 200]
+
+
+@pytest.mark.parametrize(
+    ("closing", "sent", "closes"),
+    [
+        (False, GET, False),
+        (True, GET, True),
+        (False, GET.replace(b"Host", b"Connection: close\r\nHost"), True),
+    ],
+)
+def test_the_last_answer_says_so(closing, sent, closes):
+    owner, connection = connect()
+    connection.dataReceived(sent)
+    owner.closing = closing
+    owner.answers[0](answered())
+    assert (b"connection: close" in connection.transport.value()) == closes
+    assert connection.transport.disconnecting == closes
+
+
+@pytest.mark.parametrize(("sent", "withdrawn"), [(b"", []), (GET[:20], []), (GET, ["q1"])])
+def test_a_client_that_leaves_is_told_to_the_decisions(sent, withdrawn):
+    owner, connection = connect()
+    if sent:
+        connection.dataReceived(sent)
+    connection.connectionLost(Failure(ConnectionDone()))
+    assert owner.withdrawn == withdrawn
+    for answer in owner.answers:
+        answer(answered())
+    assert connection.transport.value() == b""
+    assert not owner.reactor.getDelayedCalls()
+
+
+@pytest.mark.parametrize(
+    ("sent", "after_s", "status"),
+    [(b"", 15.9, []), (b"", 16.1, []), (GET[:20], 3.9, []), (GET[:20], 4.1, [408]), (GET, 60, [])],
+)
+def test_slow_and_idle_connections_end(sent, after_s, status):
+    owner, connection = connect()
+    if sent:
+        connection.dataReceived(sent)
+    owner.reactor.advance(after_s)
+    assert statuses(connection) == status
+    assert connection.transport.disconnecting == (after_s in (16.1, 4.1))
+
+
+def test_a_refusal_keeps_the_connection():
+    owner, connection = connect()
+    connection.dataReceived(GET)
+    owner.answers[0](Refused(RefusalReason.OVERLOADED, "full", True, 40.0))
+    assert statuses(connection) == [503]
+    assert b"Retry-After: 0.040" in connection.transport.value()
+    assert not connection.transport.disconnecting
+
+
+@pytest.mark.parametrize(("ready", "status"), [(True, 200), (False, 503)])
+def test_readiness_is_answered_on_kept_connections(ready, status):
+    question = Readiness(lambda: ready).buildProtocol(None)
+    question.makeConnection(Transport())
+    question.dataReceived(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n" * 2)
+    assert statuses(question) == [status, status]
--- /dev/null
+++ b/savoryarch/platform/tests/test_wire.py
@@ -0,0 +1,262 @@
+"""What the platform's headers, statuses and entries mean inside."""
+
+import msgspec
+import pytest
+
+from savoryarch.codec import HttpReply, HttpReplyParser
+from savoryarch.front import ParsedRequest, UnusableRequest
+from savoryarch.model import (
+    MalformedReply,
+    Misdirected,
+    RefusalReason,
+    Refused,
+    ResponseReturned,
+    SendAttempt,
+    Shed,
+    Target,
+)
+from savoryarch.model.forwarding import (
+    ForwardedRequest,
+    PartsAnswered,
+    RegisteredInstance,
+    TargetAnswered,
+    ToService,
+    ToShards,
+    ToSplit,
+    Unanswered,
+)
+from savoryarch.platform import (
+    PlatformDialect,
+    decode_table,
+    decode_target,
+    make_entry_codec,
+    read_request,
+    write_outcome,
+)
+
+REQUEST = ForwardedRequest("id-1", b"POST", b"/a/b?c", "h", ((b"Request-Id", b"id-1"),), b"xy")
+SEND = SendAttempt("forwarding/1", "i-7@42", 100.0, REQUEST)
+TARGET = Target("i-7@42", "s", "z", "10.0.0.1", 80)
+OWN = "Request-Id: id-1\r\nResponse-Stamp: d1\r\n"
+
+
+def parse(status, headers, body=b"ok"):
+    text = f"HTTP/1.1 {status} X\r\n{headers}content-length: {len(body)}\r\n\r\n"
+    return HttpReplyParser().feed(text.encode() + body)[0]
+
+
+def test_an_attempt_names_its_target_and_the_time_left():
+    sent = PlatformDialect().encode_attempt(SEND, TARGET, 99.7)
+    head, _, body = sent.partition(b"\r\n\r\n")
+    assert head.split(b"\r\n") == [
+        b"POST /a/b?c HTTP/1.1",
+        b"Request-Id: id-1",
+        b"deadline-ms: 99",
+        b"expect-instance: i-7",
+        b"content-length: 2",
+    ]
+    assert body == b"xy"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "recognised", "reply"),
+    [
+        (200, OWN, True, ResponseReturned),
+        (500, OWN, True, ResponseReturned),
+        (503, OWN, True, ResponseReturned),
+        (503, "Request-Id: id-1\r\nNot-Executed: 1\r\n", True, Shed),
+        (503, "Not-Executed: 1\r\n", True, Shed),
+        (429, "Not-Executed: 1\r\n", True, Shed),
+        (421, "Instance-Id: i-8\r\n", True, Misdirected),
+        (200, "Response-Stamp: d1\r\n", False, None),
+        (200, "Request-Id: id-0\r\nResponse-Stamp: d1\r\n", False, None),
+        (503, "Request-Id: id-0\r\nNot-Executed: 1\r\n", False, None),
+        (200, "Request-Id: id-1\r\n", True, MalformedReply),
+        (200, OWN + "Content-Encoding: gzip\r\n", True, MalformedReply),
+    ],
+)
+def test_replies_are_told_apart(status, headers, recognised, reply):
+    parsed = parse(status, headers)
+    dialect = PlatformDialect()
+    assert dialect.recognises(parsed, SEND) == recognised
+    if reply:
+        assert isinstance(dialect.decode_attempt(parsed, SEND)[0], reply)
+
+
+def test_a_reply_is_passed_on_without_the_headers_of_its_connection():
+    headers = OWN + "Connection: keep-alive\r\nKeep-Alive: timeout=5\r\nX-Own: 1\r\n"
+    reply = PlatformDialect().decode_attempt(parse(200, headers), SEND)[0]
+    assert reply.headers == (
+        (b"Request-Id", b"id-1"),
+        (b"Response-Stamp", b"d1"),
+        (b"X-Own", b"1"),
+    )
+    assert (reply.body, reply.digest) == (b"ok", "d1")
+
+
+@pytest.mark.parametrize(
+    ("keep_alive", "limit_ms"), [("timeout=5", 4000.0), ("max=3, timeout=10", 8000.0), ("", 4000.0)]
+)
+def test_idle_connections_are_not_reused_past_their_timeout(keep_alive, limit_ms):
+    reply = HttpReply(200, b"", {"keep-alive": keep_alive})
+    assert PlatformDialect().idle_limit_ms(reply) == limit_ms
+
+
+def parsed(*headers):
+    rows = tuple((name.encode(), value.encode()) for name, value in headers)
+    return ParsedRequest(b"GET", b"/a/", rows, b"", True)
+
+
+@pytest.mark.parametrize(
+    ("headers", "result"),
+    [
+        ([("Host", "h"), ("Request-Id", "r")], (None, [b"Host", b"Request-Id"])),
+        ([("Request-Id", "r"), ("Deadline-Ms", "250")], (250.0, [b"Request-Id"])),
+        ([("Request-Id", "r"), ("Connection", "close"), ("X", "1")], (None, [b"Request-Id", b"X"])),
+        ([("Request-Id", "r"), ("Expect-Instance", "i")], (None, [b"Request-Id"])),
+        ([("Host", "h")], "missing_request_id"),
+        ([("Request-Id", "r"), ("Deadline-Ms", "-1")], "malformed_deadline"),
+        ([("Request-Id", "r"), ("Deadline-Ms", "soon")], "malformed_deadline"),
+    ],
+)
+def test_requests_are_read(headers, result):
+    read = read_request(parsed(*headers))
+    if isinstance(result, str):
+        assert isinstance(read, UnusableRequest)
+        assert (read.status, read.reason) == (400, result)
+    else:
+        request, left_ms = read
+        assert (left_ms, [name for name, _ in request.headers]) == result
+
+
+def refused(reason, retry_after_ms=None):
+    return Refused(RefusalReason(reason), "text", True, retry_after_ms)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status", "headers"),
+    [
+        (TargetAnswered(500, ((b"A", b"1"),), b"x"), 500, {b"A": b"1"}),
+        (
+            PartsAnswered(("d1", "d2"), 3, b"x"),
+            200,
+            {b"Part-Stamps": b"d1, d2", b"Missing-Parts": b"3"},
+        ),
+        (refused("overloaded", 125.0), 503, {b"Retry-After": b"0.125"}),
+        (refused("no_configuration", 10.0), 503, {b"Retry-After": b"0.010"}),
+        (refused("unknown_route", 125.0), 404, {}),
+        (Unanswered(True, "x"), 504, {}),
+        (Unanswered(False, "x"), 502, {}),
+    ],
+)
+def test_outcomes_are_written(outcome, status, headers):
+    answer = write_outcome(outcome)
+    assert (answer.status, dict(answer.headers)) == (status, headers)
+
+
+ROUTE = {
+    "name": "r",
+    "host": "H.example",
+    "path-prefix": "/a/",
+    "type": "idempotent",
+    "timeout-ms": 800,
+    "slo-ms": 56,
+    "priority": 2,
+    "max-attempts": 3,
+}
+
+
+@pytest.mark.parametrize(
+    ("fields", "destination"),
+    [
+        ({"service": "s"}, ToService("s")),
+        ({"gather": ["s", "t"], "top-k": 5, "min-coverage": 0.75}, ToShards(("s", "t"), 5, 0.75)),
+        ({"split": [{"service": "s", "weight": 2}]}, ToSplit),
+    ],
+)
+def test_a_table_is_decoded(fields, destination):
+    value = msgspec.json.encode(
+        {
+            "version": 7,
+            "routes": [ROUTE | fields],
+            "services": [{"name": "s", "max-conns": 26, "health-path": "/h"}],
+            "new-field": 1,
+        }
+    )
+    table = decode_table(value)
+    (route,) = table.routes
+    assert (table.version, table.connection_limits["s"]) == (7, 26)
+    assert (route.host, route.objective_ms, route.max_attempts) == ("h.example", 56, 3)
+    if isinstance(destination, type):
+        assert isinstance(route.destination, destination)
+    else:
+        assert route.destination == destination
+
+
+@pytest.mark.parametrize(
+    ("kind", "idempotent"), [("idempotent", True), ("non_idempotent", False), ("unheard-of", False)]
+)
+def test_only_what_is_said_to_be_idempotent_may_run_twice(kind, idempotent):
+    route = ROUTE | {"type": kind, "service": "s"}
+    value = msgspec.json.encode({"version": 1, "routes": [route]})
+    assert decode_table(value).routes[0].idempotent == idempotent
+
+
+TARGET_ROW = {
+    "service": "s",
+    "address": "10.128.0.9:8080",
+    "zone": "z",
+    "slots": 2,
+    "state": "ready",
+    "sequence": 4,
+}
+
+
+@pytest.mark.parametrize(
+    ("fields", "target_id", "draining"),
+    [
+        ({}, "i-7@0", False),
+        ({"born": 1700000000000}, "i-7@1700000000000", False),
+        ({"state": "draining"}, "i-7@0", True),
+    ],
+)
+def test_a_target_is_decoded(fields, target_id, draining):
+    target = decode_target("i-7", msgspec.json.encode(TARGET_ROW | fields))
+    assert (target.target.target_id, target.name, target.draining) == (target_id, "i-7", draining)
+    assert (target.target.host, target.target.port) == ("10.128.0.9", 8080)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"state": "sleeping"},
+        {"state": 3},
+        {"address": "nowhere"},
+        {"slots": 0},
+        {"slots": "two"},
+        {"service": None},
+    ],
+)
+def test_a_malformed_target_names_none(fields):
+    with pytest.raises((ValueError, msgspec.MsgspecError)):
+        decode_target("i-7", msgspec.json.encode(TARGET_ROW | fields))
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "kind"),
+    [
+        ("op/config", b"{", "Malformed"),
+        ("servers/i-1", b"\xff", "Malformed"),
+        ("servers/i-1", msgspec.json.encode(TARGET_ROW), "RegisteredTarget"),
+        ("own/a", b"[]", "Malformed"),
+        ("other", b"", "Unrelated"),
+    ],
+)
+def test_entries_are_told_apart_by_their_key(key, value, kind):
+    assert type(make_entry_codec("own/").decode(key, value)).__name__ == kind
+
+
+def test_a_registration_can_be_read_again():
+    codec = make_entry_codec("own/")
+    instance = RegisteredInstance("me", "z", "10.0.0.1", 9)
+    assert codec.decode("own/me", codec.encode_instance(instance)) == instance
--- a/tests/check_shape.py
+++ b/tests/check_shape.py
@@ -16,6 +16,8 @@
     "charts",
     "targets",
     "search",
+    "forwarding",
+    "discovery",
     "orders",
     "configuration",
     "membership",
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -10,7 +10,7 @@
 from tests.pages import DOCS, KINDS, PAGES, described, render_page
 
 ROOT = Path(__file__).parent.parent
-PROSE = sorted([*DOCS.glob("*.md"), ROOT / "README.md", ROOT / "CONTRIBUTING.md"])
+PROSE = sorted([*DOCS.glob("*.md"), ROOT / "README.md", ROOT / "DEVELOPERS.md"])
 
 
 @pytest.mark.parametrize("page", PAGES)
