Start sooner: load what is not needed to serve after the front is open

Cause: after a loss of power of all machines an instance took about 1.0 s from its start to its first request; half of that was loading libraries that serve nothing on the platform. Ruled out: listening before routes are known (a process that restarts alone would hold requests that another instance serves in time).

--- a/savoryarch/entry/_no_platform.py
+++ b/savoryarch/entry/_no_platform.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from savoryarch.discovery import list_instances
+from savoryarch.entry._metrics import Metrics
 from savoryarch.model import ListedInstance, StoreCall, StoreReply, StoreUnreachable
 
 
@@ -39,3 +40,32 @@
     def read(self) -> "Deferred[tuple[ListedInstance, ...]]":
         """Return the instances as they are known now."""
         return succeed(list_instances(self._instance.state.discovery))
+
+
+class UnopenedPeers:
+    """Peers whose address is not open yet, or never will be.
+
+    Parameters
+    ----------
+    port : int
+        Port that the address will have.
+    metrics : Metrics
+        Counts what could not be sent.
+    """
+
+    def __init__(self, port: int, metrics: Metrics) -> None:
+        self.port = port
+        self.wanted: dict[str, tuple[str, int]] = {}
+        self._metrics = metrics
+
+    def send(self, peer_id: str, message: object) -> None:
+        """Drop a message, as a lost one."""
+        self._metrics.count("peer_drops", "not_open")
+
+    def connect(self, peer_id: str, host: str, port: int) -> None:
+        """Remember where a peer is."""
+        self.wanted[peer_id] = (host, port)
+
+    def disconnect(self, peer_id: str) -> None:
+        """Forget a peer."""
+        self.wanted.pop(peer_id, None)
--- /dev/null
+++ b/savoryarch/entry/_peer_address.py
@@ -0,0 +1,52 @@
+"""The address for peers.
+
+Its libraries take long to load: an instance that forwards requests opens it after it has begun to
+serve.
+"""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from savoryarch import model
+from savoryarch.codec import make_message_codec
+from savoryarch.entry._metrics import Metrics
+from savoryarch.peers import PeerCounts, PeerTls, PeerTransport
+from savoryarch.settings import PeersSettings, Settings
+from savoryarch.tier import SUBJECT_MESSAGES
+
+
+def open_peers(
+    settings: Settings,
+    reactor: Any,
+    incarnation: int,
+    hear: Callable[[str, object], None],
+    metrics: Metrics,
+) -> PeerTransport:
+    """Open the address for peers."""
+    codec = make_message_codec(model, *SUBJECT_MESSAGES)
+    counts = PeerCounts(
+        sent=partial(metrics.count, "peer_bytes", "sent"),
+        received=partial(metrics.count, "peer_bytes", "received"),
+        dropped=partial(metrics.count, "peer_drops"),
+    )
+    return PeerTransport(
+        reactor,
+        settings.peers.host,
+        settings.peers.port,
+        settings.instance.instance_id,
+        incarnation,
+        hear,
+        codec.encode_frame,
+        codec.decode_frame,
+        counts,
+        _peer_tls(settings.peers),
+    )
+
+
+def _peer_tls(settings: PeersSettings) -> PeerTls | None:
+    if not settings.tls_certificate_file:
+        return None
+    return PeerTls(
+        settings.tls_certificate_file, settings.tls_authority_file, settings.tls_server_name
+    )
--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -1,17 +1,21 @@
 """Runs one entry instance as a process, along the chart ``process.ini``."""
 
+import gc
 import signal
+from collections.abc import Callable
+from importlib import import_module
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
+from twisted.internet.defer import DeferredList
 
 from savoryarch.charts import load_chart, make_machine
-from savoryarch.entry._caller_front import make_caller_app
-from savoryarch.entry._caller_site import CallerSite
 from savoryarch.entry._log import log_event, start_log
+from savoryarch.entry._metrics import Metrics
+from savoryarch.entry._no_platform import UnopenedPeers
 from savoryarch.entry._reload import SettingsFile
-from savoryarch.entry._wiring import listen_operators, make_instance
-from savoryarch.front import ClientDialect, Front, Readiness
+from savoryarch.entry._wiring import make_instance
+from savoryarch.front import ClientDialect, Front, MetricsPage, Readiness
 from savoryarch.model import (
     Started,
     StopAsked,
@@ -24,6 +28,8 @@
 
 DRAIN_TIMEOUT_S = 5.0  # for callers that read their last reply slowly
 NO_DECISION_EXIT_CODE = 1
+OPEN_REST_DELAY_S = 1.0  # clients that came back after a restart are served first
+COLLECTION_THRESHOLDS = (20_000, 10, 50)  # allocations, then collections of younger objects
 FRONT_BACKLOG = 1024  # connections that wait to be accepted after a start
 
 reactor: Any = default_reactor
@@ -47,12 +53,20 @@
     Notes
     -----
     Writes one line ``ready callers=HOST:PORT operators=HOST:PORT peers=HOST:PORT`` to standard
-    output once it listens.
+    output once it listens; addresses that are not served are left out.
     """
     start_log(settings.log.level.value, settings.instance.instance_id)
+    spare_collections()
     return EntryProcess(settings, settings_path).run()
 
 
+def spare_collections() -> None:
+    """Keep collections short: what is loaded stays, and frozen states hold no cycles."""
+    gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
+    gc.enable()
+
+
 class EntryProcess:
     """The process around an entry instance.
 
@@ -65,27 +79,19 @@
     """
 
     def __init__(self, settings: Settings, settings_path: str) -> None:
+        self._settings = settings
         self._exit_code = NO_DECISION_EXIT_CODE
         self._life = make_machine(load_chart("process", ACTIONS), self._perform)
-        self._instance = make_instance(settings, reactor, self._exit)
-        self._site = CallerSite(
-            make_caller_app(self._instance).resource(), reactor, self._instance.count_refusal
-        )
+        self._ports: dict[str, Any] = {}
+        self._site: Any = None
+        self._instance = make_instance(settings, reactor, self._exit, self._open_peers)
         self._settings_file = SettingsFile(settings_path, settings, self._instance.feed, reactor)
         self._front = Front(self._instance, reactor, ClientDialect(read_request, write_outcome))
-        self._front_address = settings.front.address
-        self._ports = {
-            "callers": reactor.listenTCP(
-                settings.callers.port, self._site, interface=settings.callers.host
-            ),
-            "operators": listen_operators(settings.operators, self._instance, reactor),
-        }
         if settings.forwarding.enabled:
             self._instance.when_ready = self._open_front
-            host, port = _host_and_port(settings.front.ready_address)
-            self._ports["ready"] = reactor.listenTCP(
-                port, Readiness(self._instance.is_ready), interface=host
-            )
+            self._listen("ready", settings.front.ready_address, Readiness(self._instance.is_ready))
+        else:
+            self._open_rest()
 
     def run(self) -> int:
         """Run until the shutdown is over; returns the exit code."""
@@ -96,15 +102,66 @@
         reactor.run(installSignalHandlers=False)
         return self._exit_code
 
+    def _listen(self, name: str, address: str, factory: Any) -> None:
+        host, _, port = address.rpartition(":")
+        self._ports[name] = reactor.listenTCP(
+            int(port), factory, backlog=FRONT_BACKLOG, interface=host
+        )
+
     def _open_front(self) -> None:
         """Take clients' requests from now on: there are routes and targets to serve them."""
         if "front" in self._ports:
             return
-        host, port = _host_and_port(self._front_address)
-        self._ports["front"] = reactor.listenTCP(
-            port, self._front, backlog=FRONT_BACKLOG, interface=host
+        address = self._settings.front.address
+        self._listen("front", address, self._front)
+        log_event("front_open", (("address", address),))
+        reactor.callLater(OPEN_REST_DELAY_S, self._open_rest)
+
+    def _open_rest(self) -> None:
+        """Open the addresses for callers, operators and peers, and that of the metrics."""
+        settings = self._settings
+        if settings.callers.enabled or settings.operators.enabled:
+            self._open_faces()
+        if settings.metrics.address:
+            metrics = self._instance.metrics
+            metrics.start()
+            self._listen("metrics", settings.metrics.address, MetricsPage(metrics.render))
+        if isinstance(self._instance.peers, UnopenedPeers):
+            self._replace_peers(self._instance.peers)
+
+    def _open_faces(self) -> None:
+        settings = self._settings
+        faces = import_module("savoryarch.entry._faces")
+        if settings.callers.enabled:
+            self._site = faces.make_caller_site(self._instance, reactor)
+            self._ports["callers"] = faces.listen_callers(settings.callers, self._site, reactor)
+        if settings.operators.enabled:
+            self._ports["operators"] = faces.listen_operators(
+                settings.operators, self._instance, reactor
+            )
+
+    def _open_peers(
+        self, incarnation: int, hear: Callable[[str, object], None], metrics: Metrics
+    ) -> Any:
+        def open_now() -> Any:
+            address = import_module("savoryarch.entry._peer_address")
+            return address.open_peers(self._settings, reactor, incarnation, hear, metrics)
+
+        if not self._settings.forwarding.enabled:
+            return open_now()
+        self._open_peers_now = open_now
+        return UnopenedPeers(self._settings.peers.port, metrics)
+
+    def _replace_peers(self, unopened: UnopenedPeers) -> None:
+        tier = self._instance.state.settings
+        self._instance.peers = self._open_peers_now()
+        for peer_id, (host, port) in unopened.wanted.items():
+            self._instance.peers.connect(peer_id, host, port)
+        self._instance.feed(
+            RegisteredInstance(
+                tier.instance_id, tier.availability_zone, tier.peer_host, tier.peer_port
+            )
         )
-        log_event("front_open", (("address", self._front_address),))
 
     def _ask_to_stop(self, *_: object) -> None:
         # A signal handler runs between any two steps of the loop's code, so it only wakes the loop.
@@ -127,8 +184,10 @@
             case "announce":
                 self._announce()
             case "close_connections":
-                self._front.close_idle()
-                drained = self._site.drain().addTimeout(DRAIN_TIMEOUT_S, reactor)
+                draining = [self._front.drain()]
+                if self._site is not None:
+                    draining.append(self._site.drain())
+                drained = DeferredList(draining).addTimeout(DRAIN_TIMEOUT_S, reactor)
                 drained.addBoth(lambda _: reactor.callLater(0, self._life.drained))
             case "stop_loop":
                 reactor.stop()
@@ -139,20 +198,9 @@
         self._settings_file.watch()
         hosts = {name: port.getHost() for name, port in self._ports.items()}
         addresses = {name: f"{host.host}:{host.port}" for name, host in hosts.items()}
-        if tier.discovery.enabled:
-            self._instance.feed(
-                RegisteredInstance(
-                    tier.instance_id, tier.availability_zone, tier.peer_host, tier.peer_port
-                )
-            )
         addresses["peers"] = f"{tier.peer_host}:{tier.peer_port}"
         log_event("started", tuple(addresses.items()))
         print("ready " + " ".join(f"{name}={at}" for name, at in addresses.items()), flush=True)
 
 
-def _host_and_port(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 ACTIONS = frozenset({"announce", "close_connections", "stop_loop"})
--- a/savoryarch/entry/_wiring.py
+++ b/savoryarch/entry/_wiring.py
@@ -1,13 +1,8 @@
 """Puts one entry instance together from its settings."""
 
 from collections.abc import Callable
-from functools import partial
 from typing import Any
 
-from savoryarch import model
-from savoryarch.api import Access, make_operator_app, make_tls_options
-from savoryarch.codec import make_message_codec
-from savoryarch.entry._caller_site import CallerSite
 from savoryarch.entry._instance import EntryInstance
 from savoryarch.entry._instance_list import InstanceListClient
 from savoryarch.entry._metrics import Metrics
@@ -16,7 +11,6 @@
     AbsentStore,
     DiscoveredInstanceList,
 )
-from savoryarch.peers import PeerCounts, PeerTls, PeerTransport
 from savoryarch.platform import (
     PlatformDialect,
     decode_store_reply,
@@ -24,16 +18,18 @@
     make_entry_codec,
 )
 from savoryarch.resources import RECORD_CODEC
-from savoryarch.settings import OperatorsSettings, PeersSettings, Settings
+from savoryarch.settings import Settings
 from savoryarch.store import StoreClient, StoreSettings
-from savoryarch.tier import SUBJECT_MESSAGES, TierSettings, make_tier_state
+from savoryarch.tier import TierSettings, make_tier_state
 from savoryarch.utils import make_system_clock, make_wall_clock
 
+OpenPeers = Callable[[int, Callable[[str, object], None], Metrics], Any]
+
 
 def make_instance(
-    settings: Settings, reactor: Any, exit_process: Callable[[int], None]
+    settings: Settings, reactor: Any, exit_process: Callable[[int], None], open_peers: OpenPeers
 ) -> EntryInstance:
-    """Make an entry instance whose peer address is open already.
+    """Make an entry instance.
 
     Parameters
     ----------
@@ -43,6 +39,8 @@
         Twisted's reactor.
     exit_process : callable
         Called with the exit code when the shutdown is over.
+    open_peers : callable
+        Takes the incarnation, what hears messages and the metrics; returns the peers.
     """
     incarnation = int(make_wall_clock().now_ms())
     metrics = Metrics()
@@ -50,7 +48,7 @@
     def hear(peer_id: str, message: object) -> None:
         instance.hear(peer_id, message)
 
-    peers = _make_peers(settings, reactor, incarnation, hear, metrics)
+    peers = open_peers(incarnation, hear, metrics)
     state = make_tier_state(
         _tier_settings(settings, incarnation, peers.port),
         RECORD_CODEC,
@@ -77,17 +75,6 @@
     return StoreClient(StoreSettings(url=url), reactor, encode_store_call, decode_store_reply)
 
 
-def listen_operators(settings: OperatorsSettings, instance: EntryInstance, reactor: Any) -> Any:
-    """Open the operators' address, with TLS if the settings name a certificate."""
-    access = Access(settings.read_token_hashes, settings.write_token_hashes)
-    app = make_operator_app(instance, access)
-    site = CallerSite(app.resource(), reactor, instance.count_refusal)
-    if not settings.tls_certificate_file:
-        return reactor.listenTCP(settings.port, site, interface=settings.host)
-    options = make_tls_options(settings.tls_certificate_file, settings.tls_key_file)
-    return reactor.listenSSL(settings.port, site, options, interface=settings.host)
-
-
 def _tier_settings(settings: Settings, incarnation: int, peer_port: int) -> TierSettings:
     return TierSettings(
         instance_id=settings.instance.instance_id,
@@ -107,38 +94,3 @@
         peer_host=settings.peers.host,
         peer_port=peer_port,
     )
-
-
-def _make_peers(
-    settings: Settings,
-    reactor: Any,
-    incarnation: int,
-    hear: Callable[[str, object], None],
-    metrics: Metrics,
-) -> PeerTransport:
-    codec = make_message_codec(model, *SUBJECT_MESSAGES)
-    counts = PeerCounts(
-        sent=partial(metrics.count, "peer_bytes", "sent"),
-        received=partial(metrics.count, "peer_bytes", "received"),
-        dropped=partial(metrics.count, "peer_drops"),
-    )
-    return PeerTransport(
-        reactor,
-        settings.peers.host,
-        settings.peers.port,
-        settings.instance.instance_id,
-        incarnation,
-        hear,
-        codec.encode_frame,
-        codec.decode_frame,
-        counts,
-        _peer_tls(settings.peers),
-    )
-
-
-def _peer_tls(settings: PeersSettings) -> PeerTls | None:
-    if not settings.tls_certificate_file:
-        return None
-    return PeerTls(
-        settings.tls_certificate_file, settings.tls_authority_file, settings.tls_server_name
-    )
--- a/savoryarch/front/__init__.py
+++ b/savoryarch/front/__init__.py
@@ -3,13 +3,14 @@
 from savoryarch.front._connection import ClientAnswer, ClientConnection, ClientDialect
 from savoryarch.front._front import Front
 from savoryarch.front._parser import ParsedRequest, RequestParser, UnusableRequest
-from savoryarch.front._readiness import Readiness
+from savoryarch.front._readiness import MetricsPage, Readiness
 
 __all__ = [
     "ClientAnswer",
     "ClientConnection",
     "ClientDialect",
     "Front",
+    "MetricsPage",
     "ParsedRequest",
     "Readiness",
     "RequestParser",
--- a/savoryarch/front/_front.py
+++ b/savoryarch/front/_front.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 
 from savoryarch.front._connection import ClientConnection, ClientDialect
@@ -38,6 +39,7 @@
         self._instance = instance
         self._connections: set[ClientConnection] = set()
         self._closing = False
+        self._drained: Deferred[None] | None = None
 
     def buildProtocol(self, addr: Any) -> Protocol:  # noqa: N802
         """Make the connection of a client; called by Twisted."""
@@ -63,6 +65,14 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def drain(self) -> "Deferred[None]":
+        """Close what is idle; fires when the last connection has ended."""
+        self._closing = True
+        self._drained = Deferred()
+        self.close_idle()
+        self._check_drained()
+        return self._drained
+
     def submit(
         self,
         request: ForwardedRequest,
@@ -87,3 +97,9 @@
     def forget(self, connection: ClientConnection) -> None:
         """Drop a closed connection."""
         self._connections.discard(connection)
+        self._check_drained()
+
+    def _check_drained(self) -> None:
+        drained = self._drained
+        if drained is not None and not self._connections and not drained.called:
+            drained.callback(None)
--- a/savoryarch/front/_readiness.py
+++ b/savoryarch/front/_readiness.py
@@ -1,4 +1,4 @@
-"""The address at which the platform's balancer asks whether this instance takes requests."""
+"""Small pages for the platform: whether this instance takes requests, and its metrics."""
 
 from collections.abc import Callable
 from typing import Any
@@ -9,11 +9,11 @@
 _HEAD_END = b"\r\n\r\n"
 
 
-class _Question(Protocol):
+class _Page(Protocol):
     transport: Any = None
 
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self._is_ready = is_ready
+    def __init__(self, answer: Callable[[], tuple[bytes, bytes]]) -> None:
+        self._answer = answer
         self._received = b""
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -23,14 +23,23 @@
             return
         while _HEAD_END in self._received:
             self._received = self._received.partition(_HEAD_END)[2]
-            self._reply()
+            status, body = self._answer()
+            length = b"\r\ncontent-length: %d\r\n" % len(body)
+            self.transport.write(b"HTTP/1.1 " + status + length + b"\r\n" + body)
+
+
+class _Pages(Factory):
+    noisy = False
 
-    def _reply(self) -> None:
-        status = b"200 OK" if self._is_ready() else b"503 Service Unavailable"
-        self.transport.write(b"HTTP/1.1 " + status + b"\r\ncontent-length: 0\r\n\r\n")
+    def buildProtocol(self, addr: Any) -> Protocol:  # noqa: N802
+        """Make a connection; called by Twisted."""
+        return _Page(self._answer)
+
+    def _answer(self) -> tuple[bytes, bytes]:
+        raise NotImplementedError
 
 
-class Readiness(Factory):
+class Readiness(_Pages):
     """Answers each question with 200 or 503.
 
     Parameters
@@ -39,11 +48,24 @@
         Whether this instance takes requests.
     """
 
-    noisy = False
-
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         self._is_ready = is_ready
 
-    def buildProtocol(self, addr: Any) -> Protocol:  # noqa: N802
-        """Make a connection; called by Twisted."""
-        return _Question(self._is_ready)
+    def _answer(self) -> tuple[bytes, bytes]:
+        return (b"200 OK" if self._is_ready() else b"503 Service Unavailable"), b""
+
+
+class MetricsPage(_Pages):
+    """Answers each question with every metric.
+
+    Parameters
+    ----------
+    render : callable
+        Returns the metrics as text.
+    """
+
+    def __init__(self, render: Callable[[], bytes]) -> None:
+        self._render = render
+
+    def _answer(self) -> tuple[bytes, bytes]:
+        return b"200 OK\r\ncontent-type: text/plain; version=0.0.4", self._render()
--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -20,6 +20,7 @@
     FrontSettings,
     InstanceSettings,
     LogSettings,
+    MetricsSettings,
     OperatorsSettings,
     PeersSettings,
     PlatformSettings,
@@ -60,6 +61,7 @@
     configuration: ConfigurationSettings
     notices: NoticesSettings
     front: FrontSettings
+    metrics: MetricsSettings
     forwarding: ForwardingSettings
     discovery: DiscoverySettings
 
--- a/savoryarch/settings/_sections.py
+++ b/savoryarch/settings/_sections.py
@@ -32,6 +32,7 @@
 class CallersSettings:
     """Where callers reach this instance."""
 
+    enabled: bool = setting(Switch(), "whether searches and routes are served here", True)
     host: str = setting(Address(), "IP number to listen on", LOOPBACK)
     port: int = setting(PORT, "TCP port for callers; 0 takes a free one", 8080)
 
@@ -40,6 +41,7 @@
 class OperatorsSettings:
     """Where operators reach this instance, and who may do what."""
 
+    enabled: bool = setting(Switch(), "whether the operators' API is served", True)
     host: str = setting(Address(), "IP number to listen on", LOOPBACK)
     port: int = setting(PORT, "TCP port for operators; 0 takes a free one", 8081)
     read_token_hashes: tuple[str, ...] = setting(
@@ -82,6 +84,13 @@
     ready_address: str = setting(SOCKET, "where questions of readiness are taken", "127.0.0.1:0")
 
 
+@dataclass(frozen=True, slots=True)
+class MetricsSettings:
+    """Where metrics are read, besides the operators' API."""
+
+    address: str = setting(SOCKET, "address that answers every GET with the metrics", "")
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
     """Where the platform's services are; without them the instance runs alone, for a trial."""
