Explain a request from its id: structured logs that never block, histograms, the command explain

Cause: an engineer on call has only logs and metrics; logs blocked on their reader, nothing was measured per request, and a refusal of a large body could be lost. Change: one line per decision on a request with its inputs; a writer with a fixed buffer that drops routine lines first and counts them; histograms per route and service; gauges; `savoryarch explain`. A connection that is refused while its client sends is read on for a while: the reset that a close with unread bytes causes overtook the refusal (seen once as a failure of test_bad_input, now with a test that fails without the change).

--- a/savoryarch/cli/_commands.py
+++ b/savoryarch/cli/_commands.py
@@ -282,6 +282,27 @@
             return self._usage("replay needs at least one trace file")
         return import_module("savoryarch.replay").replay_files(traces, self._console.write)
 
+    @as_text
+    def explain(self, request_id: str, *logs: str) -> int:
+        """Tell the story of one request from log files of several instances.
+
+        Parameters
+        ----------
+        request_id
+            The client's id of the request.
+        """
+        if not logs:
+            return self._usage("explain needs at least one log file")
+        explaining = import_module("savoryarch.cli._explain")
+        try:
+            lines = explaining.read_logs(logs)
+        except FindingsError as error:
+            self._console.complain(str(error))
+            return ExitCode.REFUSED
+        for text in explaining.explain_request(request_id, lines):
+            self._console.write(text)
+        return ExitCode.OK
+
     def token(self) -> int:
         """Make a random token for operators, and its hash for the settings."""
         made = import_module("savoryarch.api").make_token()
--- /dev/null
+++ b/savoryarch/cli/tests/test_explain.py
@@ -0,0 +1,76 @@
+"""The story of a request, told from log lines."""
+
+import pytest
+
+from savoryarch.cli import main
+from savoryarch.cli._commands import Console
+from savoryarch.cli._explain import parse_log_line
+from savoryarch.entry._log import format_event
+
+HEAD = "time=2026-12-04T10:00:0{second}.000000 level=INFO {event} instance={instance}"
+
+
+def line(second, instance, name, **fields):
+    event = format_event(name, fields.items())
+    return HEAD.format(second=second, event=event, instance=instance)
+
+
+@pytest.mark.parametrize(
+    ("fields", "parsed"),
+    [
+        ({"a": "1"}, {"a": "1"}),
+        ({"detail": "two words"}, {"detail": "two words"}),
+        ({"detail": 'say "no"'}, {"detail": 'say "no"'}),
+        ({"detail": "a\\b\nc"}, {"detail": "a\\b\nc"}),
+        ({"empty": ""}, {"empty": ""}),
+    ],
+)
+def test_what_is_logged_can_be_read_again(fields, parsed):
+    assert parse_log_line(line(1, "one", "name", **fields)).fields == parsed
+
+
+@pytest.mark.parametrize("text", ["", "ready callers=1:2", "time=1 level=INFO nothing", "x" * 9999])
+def test_other_lines_are_left_out(text):
+    assert parse_log_line(text) is None
+
+
+LOG = [
+    line(1, "one", "started", ready="1:2"),
+    line(1, "two", "started", ready="1:3"),
+    line(2, "one", "table_in_force", version="4"),
+    line(3, "one", "target_learned", key="servers/i-7"),
+    line(3, "one", "target_learned", key="servers/i-8"),
+    line(4, "one", "store_lost", detail="timeout"),
+    line(5, "one", "attempt_failed", request="r1", target="i-7@1", reply="connection_lost"),
+    line(6, "one", "request_ended", request="r1", outcome="failures"),
+    line(7, "one", "table_in_force", version="5"),
+    line(8, "two", "request_ended", request="r2", outcome="refusals"),
+]
+
+
+@pytest.mark.parametrize(
+    ("request_id", "told", "untold"),
+    [
+        ("r1", ["attempt_failed", "failures", "version=4", "store_lost", "i-7"], ["i-8", "=5"]),
+        ("r2", ["refusals", "two started"], ["store_lost", "i-7"]),
+        ("r3", ["no line names request"], ["started"]),
+    ],
+)
+def test_a_request_is_explained_with_what_was_believed(tmp_path, request_id, told, untold):
+    paths = []
+    for number in range(2):
+        path = tmp_path / f"{number}.log"
+        path.write_text("\n".join(LOG[number::2]))
+        paths.append(str(path))
+    written = []
+    assert main(["explain", request_id, *paths], Console(write=written.append)) == 0
+    text = "\n".join(written)
+    assert [word for word in told if word not in text] == []
+    assert [word for word in untold if word in text] == []
+
+
+def test_a_file_that_cannot_be_read_is_named(tmp_path):
+    complaints = []
+    path = str(tmp_path / "absent.log")
+    assert main(["explain", "r1", path], Console(complain=complaints.append)) == 1
+    assert path in complaints[0]
--- a/savoryarch/entry/_caller_site.py
+++ b/savoryarch/entry/_caller_site.py
@@ -9,6 +9,7 @@
 from twisted.web.server import Request, Site
 
 from savoryarch.codec import EncodedReply, encode_error
+from savoryarch.utils import close_after_answer
 
 MAX_BODY_BYTES = 1024 * 1024
 IDLE_TIMEOUT_S = 60.0
@@ -87,7 +88,12 @@
             f"content-length: {len(reply.body)}\r\nconnection: close\r\n\r\n"
         )
         self.transport.write(head.encode("ascii") + reply.body)
-        self.loseConnection()
+        close_after_answer(self.transport, self.site.reactor)
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Take a line of the head, unless the request is refused; called by Twisted."""
+        if not self.refused:
+            super().lineReceived(line)
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         """Refuse a line of the head that is too long; called by Twisted."""
--- a/savoryarch/entry/_instance.py
+++ b/savoryarch/entry/_instance.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred, TimeoutError
 
 from savoryarch.codec import Dialect
-from savoryarch.entry._log import log_error, log_event
+from savoryarch.entry._log import dropped_lines, log_error, log_event, log_routine
 from savoryarch.entry._metrics import Metrics
 from savoryarch.entry._target_client import TargetClient
 from savoryarch.entry._timers import Timers
@@ -30,6 +30,8 @@
     InstancesListed,
     LimitConnections,
     LogEvent,
+    LogRoutine,
+    Observe,
     OpenConnections,
     PeerSaid,
     ProbeTarget,
@@ -141,8 +143,26 @@
 
     def render_metrics(self) -> bytes:
         """Return every metric in the text exposition format."""
+        self.set_gauges()
         return self.metrics.render()
 
+    def set_gauges(self) -> None:
+        """Take the values that go up and down from the state."""
+        forwarding, discovery = self.state.forwarding, self.state.discovery
+        waiting = sum(len(queue) for queue in forwarding.waiting.values())
+        values = (
+            ("requests", "forwarding", len(forwarding.forwards)),
+            ("attempts", "forwarding", len(forwarding.attempts)),
+            ("requests", "waiting_for_room", waiting),
+            ("table_version", "in_force", forwarding.table.version if forwarding.table else 0),
+            ("targets", "known", len(discovery.targets)),
+            ("targets", "lapsed", len(discovery.lapsed)),
+            ("store_failures_in_row", "discovery", discovery.failures),
+            ("log_lines_dropped", "all", dropped_lines()),
+        )
+        for name, reason, value in values:
+            self.metrics.set_gauge(name, reason, value)
+
     def wait_newer(self, generation: int, wait_ms: float) -> Deferred:
         """Fire as soon as a newer generation is in force, or when the wait ends."""
         waiting: Deferred = Deferred()
@@ -197,8 +217,12 @@
                 self.metrics.count(counter, reason, by)
             case _ if isinstance(effect, StoreCall):
                 self._call_store(effect)
+            case Observe(histogram=name, value_ms=value_ms, attributes=attributes):
+                self.metrics.record_ms(name, value_ms, dict(attributes))
             case LogEvent(name=name, fields=fields):
                 log_event(name, fields)
+            case LogRoutine(name=name, fields=fields):
+                log_routine(name, fields)
             case _:
                 self._perform_rarely(effect)
 
--- a/savoryarch/entry/_log.py
+++ b/savoryarch/entry/_log.py
@@ -1,37 +1,65 @@
 """Logs: one line of key=value pairs per event."""
 
-import sys
 from collections.abc import Iterable
+from typing import Any
 
 from logbook import Logger, StreamHandler, lookup_level
 
+from savoryarch.entry._log_writer import LogWriter
+
+STREAMS = {"stdout": 1, "stderr": 2}
+
 _FORMAT = "time={record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name} {record.message}"
 _LOGGER = Logger("savoryarch")
+_writers: list[LogWriter] = []
 
 
-def start_log(level: str, instance_id: str) -> None:
-    """Write log lines at `level` and above to standard error."""
+def start_log(level: str, instance_id: str, stream: str, reactor: Any) -> None:
+    """Write log lines at `level` and above to ``stdout`` or ``stderr``."""
     text = f"{_FORMAT} instance={instance_id}"
-    StreamHandler(
-        sys.stderr, level=lookup_level(level.upper()), format_string=text
-    ).push_application()
+    writer = LogWriter(STREAMS[stream], reactor)
+    _writers.append(writer)
+    StreamHandler(writer, level=lookup_level(level.upper()), format_string=text).push_application()
 
 
 def log_event(name: str, fields: Iterable[tuple[str, str]] = ()) -> None:
     """Log one event."""
+    _tell_dropped()
     _LOGGER.info(format_event(name, fields))
 
 
+def log_routine(name: str, fields: Iterable[tuple[str, str]] = ()) -> None:
+    """Log one event that went well; it is the first to be dropped when there are too many."""
+    if all(writer.takes_routine() for writer in _writers):
+        log_event(name, fields)
+
+
 def log_error(name: str, fields: Iterable[tuple[str, str]] = ()) -> None:
     """Log one event that is an error of this program."""
     _LOGGER.error(format_event(name, fields))
 
 
+def dropped_lines() -> int:
+    """Return the number of lines that were dropped since the start."""
+    return sum(writer.dropped for writer in _writers)
+
+
 def format_event(name: str, fields: Iterable[tuple[str, str]]) -> str:
     """Format one event as ``event=NAME key=value ...``; values with spaces are quoted."""
     return " ".join([f"event={name}", *(f"{key}={_quote(value)}" for key, value in fields)])
 
 
+_told = [0]
+
+
+def _tell_dropped() -> None:
+    dropped = dropped_lines()
+    if dropped >= 2 * _told[0] + 1:
+        # Told each time the number has doubled, so that telling it does not add to the load.
+        _told[0] = dropped
+        _LOGGER.warning(format_event("log_lines_dropped", (("total", str(dropped)),)))
+
+
 def _quote(value: str) -> str:
     text = str(value)
     if text and not any(character in text for character in ' "=\n\r\t'):
--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -55,7 +55,8 @@
     Writes one line ``ready callers=HOST:PORT operators=HOST:PORT peers=HOST:PORT`` to standard
     output once it listens; addresses that are not served are left out.
     """
-    start_log(settings.log.level.value, settings.instance.instance_id)
+    log = settings.log
+    start_log(log.level.value, settings.instance.instance_id, log.stream.value, reactor)
     spare_collections()
     return EntryProcess(settings, settings_path).run()
 
@@ -125,7 +126,9 @@
         if settings.metrics.address:
             metrics = self._instance.metrics
             metrics.start()
-            self._listen("metrics", settings.metrics.address, MetricsPage(metrics.render))
+            self._listen(
+                "metrics", settings.metrics.address, MetricsPage(self._instance.render_metrics)
+            )
         if isinstance(self._instance.peers, UnopenedPeers):
             self._replace_peers(self._instance.peers)
 
--- a/savoryarch/entry/tests/test_bad_input.py
+++ b/savoryarch/entry/tests/test_bad_input.py
@@ -98,3 +98,8 @@
     with socket.create_connection((address.host, address.port), TIMEOUT_S) as connection:
         connection.sendall(b"POST /v1/searches/x HTTP/1.1\r\n")
         assert requests.get(f"http://{address}/ready", timeout=TIMEOUT_S).status_code == 200
+
+
+def test_a_refusal_reaches_a_client_that_is_still_sending(entry):
+    data = post("/v1/searches/counter", b" " * 8_000_000)
+    assert exchange(entry, data).startswith(b"HTTP/1.1 413 ")
--- /dev/null
+++ b/savoryarch/entry/tests/test_log.py
@@ -0,0 +1,76 @@
+"""Log lines never wait for whoever reads them."""
+
+import contextlib
+import os
+
+import pytest
+from twisted.internet.task import Clock
+
+from savoryarch.entry._log_writer import BUFFER_BYTES, ROUTINE_LINES_PER_S, LogWriter
+
+LINE = "x" * 1023 + "\n"
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    for descriptor in (reader, writer):
+        with contextlib.suppress(OSError):
+            os.close(descriptor)
+
+
+def read_all(reader):
+    os.set_blocking(reader, False)
+    text = b""
+    try:
+        while piece := os.read(reader, 1 << 20):
+            text += piece
+    except BlockingIOError:
+        pass
+    return text
+
+
+@pytest.mark.parametrize("lines", [1, 50, 1000])
+def test_lines_beyond_the_buffer_are_dropped_and_counted(pipe, lines):
+    reader, descriptor = pipe
+    clock = Clock()
+    writer = LogWriter(descriptor, clock)
+    for _ in range(lines):
+        writer.write(LINE)
+    received = read_all(reader)
+    for _ in range(20):
+        clock.advance(0.1)
+        received += read_all(reader)
+    assert received.count(b"\n") + writer.dropped == lines
+    assert len(received) == 1024 * received.count(b"\n")
+    assert (writer.dropped > 0) == (lines * 1024 > BUFFER_BYTES + 65_536)
+
+
+def test_routine_lines_are_dropped_before_others(pipe):
+    _, descriptor = pipe
+    writer = LogWriter(descriptor, Clock())
+    while writer.takes_routine():
+        writer.write(LINE)
+    assert writer.dropped == 1
+    for _ in range(20):
+        writer.write(LINE)
+    assert writer.dropped == 1
+
+
+def test_routine_lines_are_limited_by_the_second(pipe):
+    reader, descriptor = pipe
+    clock = Clock()
+    writer = LogWriter(descriptor, clock)
+    taken = [sum(writer.takes_routine() for _ in range(500)) for _ in range(2)]
+    clock.advance(1.0)
+    taken.append(sum(writer.takes_routine() for _ in range(500)))
+    assert taken == [ROUTINE_LINES_PER_S, 0, ROUTINE_LINES_PER_S]
+
+
+def test_a_reader_that_has_gone_is_no_error(pipe):
+    reader, descriptor = pipe
+    os.close(reader)
+    writer = LogWriter(descriptor, Clock())
+    writer.write(LINE)
+    assert writer.dropped == 1
--- a/savoryarch/forwarding/_decide.py
+++ b/savoryarch/forwarding/_decide.py
@@ -17,6 +17,7 @@
     DecidedOnTargets,
     LogEvent,
     NewWorkEnded,
+    Observe,
     PeerSaid,
     SetTimer,
     SettingsReloaded,
@@ -105,7 +106,8 @@
     targets = end_attempt(targets, ended, latency_ms, now_ms)
     noted = note_attempt_ended(state.quarantine, ended, now_ms)
     state = replace(state, attempts=state.attempts.delete(ended.attempt_id), quarantine=noted.state)
-    decided = DecidedOnTargets(state, targets, noted.effects)
+    observed = Observe("attempt_ms", latency_ms, (("service", attempt.service),))
+    decided = DecidedOnTargets(state, targets, (*noted.effects, observed))
     forward = state.forwards.get(attempt.request_id)
     if forward is not None and ended.attempt_id in forward.pieces[attempt.service].attempt_ids:
         decided = _then(
--- a/savoryarch/forwarding/_forward_chart.py
+++ b/savoryarch/forwarding/_forward_chart.py
@@ -17,6 +17,8 @@
 from savoryarch.model import (
     Count,
     LogEvent,
+    LogRoutine,
+    Observe,
     RefusalReason,
     Refused,
 )
@@ -134,22 +136,41 @@
 def _answer(turn: Turn, outcome: ForwardOutcome) -> Turn:
     forward = turn.forward
     name, reason = _describe(turn, outcome)
+    took_ms = turn.now_ms - forward.asked_at_ms
+    labels = (("route", forward.route.name), ("outcome", name), ("reason", reason))
+    table = turn.state.table
     fields = (
         ("request", forward.asked.request.client_request_id),
-        ("route", forward.route.name),
-        ("outcome", name),
-        ("reason", reason),
-        ("took_ms", f"{turn.now_ms - forward.asked_at_ms:.0f}"),
-        ("answered", f"{forward.answered}/{len(forward.pieces)}"),
-        ("left_out", _left_out(forward)),
+        *labels,
+        ("took_ms", f"{took_ms:.0f}"),
+        ("time_left_ms", f"{forward.deadline_at_ms - turn.now_ms:.0f}"),
+        ("pieces", f"{forward.answered}/{len(forward.pieces)}"),
+        ("required", str(forward.required)),
+        ("missing", _missing(forward)),
+        ("may_have_run", "yes" if forward.may_have_run else "no"),
+        ("retry_after_ms", _retry_after(outcome)),
+        ("table_version", str(table.version) if table else "none"),
     )
-    effects: tuple[object, ...] = (AnswerForward(forward.request_id, outcome), Count(name, reason))
-    if name != "answers" or reason != "whole":
-        effects += (LogEvent("forward_ended", fields),)
-    return emit(turn, *effects)
+    went_well = name == "answers" and reason == "whole"
+    log = LogRoutine if went_well else LogEvent
+    return emit(
+        turn,
+        AnswerForward(forward.request_id, outcome),
+        Count(name, reason),
+        Observe("forward_ms", took_ms, labels),
+        log("request_ended", fields),
+    )
+
+
+def _retry_after(outcome: ForwardOutcome) -> str:
+    match outcome:
+        case Refused(retry_after_ms=float() as retry_after_ms):
+            return f"{retry_after_ms:.0f}"
+        case _:
+            return ""
 
 
-def _left_out(forward: Forward) -> str:
+def _missing(forward: Forward) -> str:
     names = sorted(
         f"{piece.service}:{piece.life}:{piece.failure or 'late'}:{piece.arrivals}"
         for piece in forward.pieces.values()
--- a/savoryarch/forwarding/_pieces.py
+++ b/savoryarch/forwarding/_pieces.py
@@ -12,6 +12,7 @@
     CancelAttempt,
     Count,
     Draining,
+    LogRoutine,
     Misdirected,
     NotSent,
     ResponseReturned,
@@ -48,6 +49,8 @@
     """Take the end of an attempt that is still wanted."""
     reply, target_id = ended.reply, ended.target_id
     piece = turn.forward.pieces[service]
+    if not isinstance(reply, ResponseReturned) or reply.status >= FIRST_FAILURE_STATUS:
+        turn = emit(turn, _log_failure(turn, ended, service))
     left = tuple(name for name in piece.attempt_ids if name != ended.attempt_id)
     piece = replace(piece, attempt_ids=left)
     match reply:
@@ -80,6 +83,25 @@
             return _step(turn, failed, "failed")
 
 
+def _log_failure(turn: Turn, ended: AttemptEnded, service: str) -> LogRoutine:
+    """Tell how an attempt failed, and how much of the target this instance used then."""
+    use = turn.targets.uses.get(ended.target_id)
+    reply = ended.reply
+    status = str(reply.status) if isinstance(reply, ResponseReturned) else ""
+    fields = (
+        ("request", turn.forward.asked.request.client_request_id),
+        ("service", service),
+        ("target", ended.target_id),
+        ("reply", _reason_of(reply)),
+        ("status", status),
+        ("detail", str(getattr(reply, "detail", ""))),
+        ("waited_ms", f"{turn.now_ms - turn.forward.asked_at_ms:.0f}"),
+        ("target_in_flight", str(use.in_flight) if use else "gone"),
+        ("target_failing", f"{use.failing:.2f}" if use else "gone"),
+    )
+    return LogRoutine("attempt_failed", fields)
+
+
 def check_pieces(turn: Turn) -> Turn:
     """Hedge the pieces whose attempts take too long."""
     for service in turn.forward.pieces:
@@ -185,7 +207,24 @@
         if paid is None:
             return None
         turn = paid
-    return _send(emit(turn, Count("retries", reason)), piece, target_id)
+    turn = emit(turn, Count("retries", reason), _log_resend(turn, piece, reason, target_id))
+    return _send(turn, piece, target_id)
+
+
+def _log_resend(turn: Turn, piece: Piece, reason: str, target_id: str) -> LogRoutine:
+    """Tell why a piece is sent again, and what that was decided on."""
+    forward = turn.forward
+    held = turn.state.budgets.get(piece.service)
+    fields = (
+        ("request", forward.asked.request.client_request_id),
+        ("service", piece.service),
+        ("reason", reason),
+        ("target", target_id),
+        ("tried", ",".join(sorted(piece.tried))),
+        ("waited_ms", f"{turn.now_ms - forward.asked_at_ms:.0f}"),
+        ("budget_left", f"{held.budget.tokens:.1f}" if held else "none"),
+    )
+    return LogRoutine("piece_resent", fields)
 
 
 def _has_candidates(turn: Turn, piece: Piece) -> bool:
--- a/savoryarch/front/_connection.py
+++ b/savoryarch/front/_connection.py
@@ -15,10 +15,12 @@
     ForwardOutcome,
     FrontLimits,
 )
+from savoryarch.utils import close_after_answer
 
 ACTIONS = frozenset(
     {
         "close",
+        "close_reading",
         "read_kept",
         "start_idle_timer",
         "start_receive_timer",
@@ -222,6 +224,9 @@
         detail = self._unusable.detail.encode()
         self._write(ClientAnswer(self._unusable.status, (), detail), last=True)
 
+    def _close_reading(self) -> None:
+        close_after_answer(self.transport, self._owner.reactor)
+
     def _write_too_slow(self) -> None:
         self._owner.count_refusal("receive_timeout")
         self._write(ClientAnswer(408, (), b"the request did not come whole in time"), last=True)
--- a/savoryarch/model/_common.py
+++ b/savoryarch/model/_common.py
@@ -68,6 +68,33 @@
     fields: tuple[tuple[str, str], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class LogRoutine:
+    """As `LogEvent`, for what went well; the first to be left out when there are too many."""
+
+    name: str
+    fields: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Observe:
+    """Record a duration in a histogram.
+
+    Parameters
+    ----------
+    histogram : str
+        For example ``forward_ms``.
+    value_ms : float
+        The duration.
+    attributes : tuple of (str, str)
+        Names and values of its attributes.
+    """
+
+    histogram: str
+    value_ms: float
+    attributes: tuple[tuple[str, str], ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Notice:
     """A decision that is the operator's to make.
--- a/savoryarch/settings/_sections.py
+++ b/savoryarch/settings/_sections.py
@@ -20,6 +20,13 @@
     ERROR = "error"
 
 
+class LogStream(Enum):
+    """Where log lines go."""
+
+    STDOUT = "stdout"
+    STDERR = "stderr"
+
+
 @dataclass(frozen=True, slots=True)
 class InstanceSettings:
     """Who this instance is."""
@@ -104,3 +111,4 @@
     """What is logged."""
 
     level: LogLevel = setting(OneOf(LogLevel), "least severe events that are logged", LogLevel.INFO)
+    stream: LogStream = setting(OneOf(LogStream), "where lines are written", LogStream.STDERR)
--- a/savoryarch/utils/__init__.py
+++ b/savoryarch/utils/__init__.py
@@ -5,6 +5,7 @@
 from savoryarch.utils._findings import Finding, Place, format_findings
 from savoryarch.utils._heap import Heap, heap_pop, heap_push
 from savoryarch.utils._ini import IniDocument, IniEntry, IniSection, read_ini
+from savoryarch.utils._linger import close_after_answer
 from savoryarch.utils._order import in_order
 from savoryarch.utils._validation import (
     NAME,
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    "close_after_answer",
     "Budget",
     "earn",
     "spend",
