--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -123,9 +123,8 @@
         settings = self._settings
         if settings.callers.enabled or settings.operators.enabled:
             self._open_faces()
+        self._instance.metrics.start()
         if settings.metrics.address:
-            metrics = self._instance.metrics
-            metrics.start()
             self._listen(
                 "metrics", settings.metrics.address, MetricsPage(self._instance.render_metrics)
             )
