Count a crash that a peer reports in one quarantine only

Cause: searches and forwarded requests each keep a quarantine, and both heard every report of a peer. The one that sends no requests to the service knows no replies that speak for the request: it quarantined innocent queries and told every peer. Ruled out: placement by refusals, the loading of metrics (failed again after that change). Change: forwarding hears nothing unless it is enabled; beside forwarding, searches hear reports of the services that they use.

--- a/savoryarch/tier/_decide.py
+++ b/savoryarch/tier/_decide.py
@@ -15,6 +15,7 @@
     Decided,
     DeclarationsInForce,
     Inform,
+    PeerSaid,
     RaiseNotice,
     RouteAsked,
     SearchAsked,
@@ -30,6 +31,7 @@
 from savoryarch.notices import OBSERVE_TIMER, TierObserved, decide_notices, observe
 from savoryarch.orders import decide_orders
 from savoryarch.orders import unfinished_requests as unfinished_orders
+from savoryarch.quarantine import CrashReported, ReplyReported
 from savoryarch.search import decide_search
 from savoryarch.search import unfinished_requests as unfinished_searches
 from savoryarch.shutdown import decide_shutdown
@@ -125,6 +127,8 @@
 
 
 def _search(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    if state.settings.forwarding.enabled and not _concerns_searches(state, event):
+        return Decided(state)
     decided = decide_search(state.search, state.targets, event, now_ms)
     changed = replace(state, search=decided.state, targets=decided.targets)
     return Decided(changed, decided.effects)
@@ -136,7 +140,26 @@
     return Decided(changed, decided.effects)
 
 
+def _concerns_searches(state: TierState, event: object) -> bool:
+    """Return whether an event of an instance that also forwards requests concerns its searches.
+
+    A crash that a peer reports must be counted once: whoever never sends requests to the service
+    knows no replies that speak for the request, and would quarantine innocent ones everywhere.
+    """
+    match event:
+        case PeerSaid(message=CrashReported(service=service) | ReplyReported(service=service)):
+            return any(
+                service in shard_map.services
+                for search in state.search.declarations.searches.values()
+                for shard_map in search.shard_maps
+            )
+        case _:
+            return True
+
+
 def _forwarding(state: TierState, event: object, now_ms: float) -> Decided[TierState]:
+    if not state.settings.forwarding.enabled:
+        return Decided(state)
     decided = decide_forwarding(state.forwarding, state.targets, event, now_ms)
     changed = replace(state, forwarding=decided.state, targets=decided.targets)
     return Decided(changed, decided.effects)
