Bound the refused attempts at a draining target by the instances, not by luck

Cause: the wait ended when 8 requests to four instances, two each, missed one of three targets, which two requests do in 4 of 9 cases (2/3 squared) for each instance that has not heard of the drain; its first request later on was the refused one that the test saw. An instance learns of it from the first refusal at the latest (the target tells nothing else within the time). The test now asks for the whole time and allows one refusal per instance, no run, and whole answers only.

--- a/tests/process/test_searches.py
+++ b/tests/process/test_searches.py
@@ -1,5 +1,7 @@
 """Answers of real entry instances while targets move, lie, fail and leave."""
 
+from time import monotonic
+
 import pytest
 import requests
 
@@ -9,7 +11,7 @@
 pytestmark = pytest.mark.process
 TIMEOUT_S = 10.0
 SEARCHES_PER_STEP = 24
-DRAIN_TIMEOUT_S = 3.0  # a leaving target gets no new work after this time
+DRAIN_TIMEOUT_S = 3.0  # a leaving target gets no new work after this time; shorter than any probe
 CALL = SearchCall("counter", "portal")
 
 
@@ -97,27 +99,24 @@
     assert any(result.outcome == "answered" for result in results)
 
 
-def test_a_draining_target_gets_no_new_work(calm, retry):
+def test_a_draining_target_gets_no_new_work(calm):
+    """An instance learns of the drain from the first refusal at the latest, and for good."""
+    before = counts(calm)["balcao-02-1"]
     switch_target(calm, "balcao-02-1", drive="drain")
     try:
-        before = counts(calm)["balcao-02-1"]["runs"]
-        retry(lambda: not new_work(calm), DRAIN_TIMEOUT_S)
+        results = []
+        until = monotonic() + DRAIN_TIMEOUT_S
+        while monotonic() < until:
+            results += ask_all(calm, 8)
         after = counts(calm)["balcao-02-1"]
-        results = ask_all(calm)
-        assert counts(calm)["balcao-02-1"]["refused_draining"] == after["refused_draining"]
-        assert after["runs"] == before
+        refused = after["refused_draining"] - before["refused_draining"]
+        assert 1 <= refused <= len(calm.entries)
+        assert after["runs"] == before["runs"]
         assert {(result.asked, result.answered) for result in results} == {(3, 3)}
     finally:
         switch_target(calm, "balcao-02-1", drive="restore")
 
 
-def new_work(cluster):
-    """Return whether asking every instance still sends requests to the draining target."""
-    before = counts(cluster)["balcao-02-1"]["refused_draining"]
-    ask_all(cluster, 8)
-    return counts(cluster)["balcao-02-1"]["refused_draining"] > before
-
-
 def test_limits_of_the_targets_were_never_exceeded(calm):
     limits = {
         target.target_id: (service.slots, service.connection_limit)
