Send what must not run twice on no connection that has been idle for long

Cause: a target may drop an idle connection before the timeout it states; a request sent then is reset, and one that must not run twice ends in a 502 although it never ran. Ruled out: repeating it, since a reset does not tell whether the request was read. Before: an order went out on any kept connection. After: on one idle for at most 500 ms, else on a new one; an idle one is closed for it where the limit is reached. Test: five cases, three of which fail without the change.

--- a/savoryarch/entry/_errands.py
+++ b/savoryarch/entry/_errands.py
@@ -57,6 +57,7 @@
     def __init__(self, pool: Pool, left_ms: float, request_id: str) -> None:
         self.connection: TargetConnection | None = None
         self.request = b""
+        self.repeatable = True
         self._pool = pool
         self._request_id = request_id
         self._ended = False
@@ -141,6 +142,7 @@
     def __init__(self, pool: Pool, send: SendAttempt) -> None:
         super().__init__(pool, send.deadline_at_ms - pool.clock.now_ms(), send.attempt_id)
         self._send = send
+        self.repeatable = send.repeatable
 
     def encode(self) -> bytes:
         """Return the request with the time that is left now."""
--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -77,6 +77,7 @@
 
     transport: Any = None
     idle_until_ms = float("inf")
+    idle_since_ms = 0.0
 
     def __init__(self, owner: ConnectionOwner, reactor: Any) -> None:
         self._owner = owner
--- a/savoryarch/entry/_target_pool.py
+++ b/savoryarch/entry/_target_pool.py
@@ -15,6 +15,8 @@
 from savoryarch.utils import Clock
 
 DEFAULT_CONNECTION_LIMIT = 2
+# Targets state idle timeouts in whole seconds and may drop a connection sooner than that.
+MAX_UNREPEATABLE_IDLE_MS = 500.0
 _MS_PER_S = 1000.0
 
 
@@ -136,6 +138,7 @@
         """Take an idle connection from the connection itself."""
         self._drop_cancel(connection)
         self._drop_stale()
+        connection.idle_since_ms = self.clock.now_ms()
         self._idle.append(connection)
         if len(self._open) > self._limit:
             self._retire(connection)
@@ -158,7 +161,7 @@
             self.feed(TargetSigned(self.target.target_id, sign))
         if sign is Sign.CONNECTION_REFUSED:
             self._fail_waiting("the target refused a connection")
-        elif self._waiting and not self._idle:
+        elif self._waiting:
             self._connect_if_allowed()
 
     def idle_until_ms(self, reply: HttpReply) -> float:
@@ -177,13 +180,18 @@
 
     def _submit(self, errand: Errand) -> None:
         self._drop_stale()
-        if self._idle:
+        if self._idle and (errand.repeatable or self._is_fresh(self._idle[-1])):
             self._assign(errand)
             return
+        if self._idle and len(self._open) >= self._limit:
+            self._retire(self._idle[0])
         self._waiting.append(errand)
         if len(self._connecting) < len(self._waiting):
             self._connect_if_allowed()
 
+    def _is_fresh(self, connection: TargetConnection) -> bool:
+        return self.clock.now_ms() - connection.idle_since_ms <= MAX_UNREPEATABLE_IDLE_MS
+
     def _drop_cancel(self, connection: TargetConnection) -> None:
         # The cancelled request is over, so that its cancellation need not be sent any more.
         cancel = self._cancels.pop(connection, None)
--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -45,10 +45,10 @@
     events: list
     protocols: list = field(default_factory=list)
 
-    def send(self, attempt_id, deadline_ms=1000.0):
+    def send(self, attempt_id, deadline_ms=1000.0, repeatable=True):
         at_ms = self.reactor.seconds() * 1000 + deadline_ms
         request = PartRequest("counter", b"{}", SNAPSHOT)
-        self.pool.send(SendAttempt(attempt_id, "t1", at_ms, request))
+        self.pool.send(SendAttempt(attempt_id, "t1", at_ms, request, repeatable))
 
     def accept(self):
         """Accept the oldest pending connection and return its transport."""
@@ -127,6 +127,34 @@
     assert protocol.transport.disconnecting is (not reusable)
 
 
+@pytest.mark.parametrize(
+    ("repeatable", "idle_s", "limit", "kept"),
+    [
+        (True, 60.0, 2, True),
+        (False, 0.4, 2, True),
+        (False, 0.6, 2, False),
+        (False, 0.6, 1, False),
+        (False, 60.0, 1, False),
+    ],
+)
+def test_what_must_not_run_twice_is_sent_on_no_connection_that_may_be_closed(
+    world, repeatable, idle_s, limit, kept
+):
+    world.pool.limit(limit)
+    world.send("a1")
+    first = world.accept()
+    first.dataReceived(part_reply("a1"))
+    world.reactor.advance(idle_s)
+    world.send("a2", repeatable=repeatable)
+    assert (b"a2" in first.transport.value()) is kept
+    if first.transport.disconnecting:
+        lose(first)
+    used = first if kept else world.accept()
+    used.dataReceived(part_reply("a2"))
+    assert world.ended() == [("a1", PartReturned), ("a2", PartReturned)]
+    assert world.pool.connection_count() <= limit
+
+
 @pytest.mark.parametrize("replies", [part_reply("a1") + part_reply("a1"), part_reply("a1") * 3])
 def test_surplus_replies_close_the_connection(world, replies):
     world.send("a1")
--- a/savoryarch/forwarding/_pieces.py
+++ b/savoryarch/forwarding/_pieces.py
@@ -292,7 +292,13 @@
     turn = replace(turn, state=state, targets=begin_attempt(turn.targets, target_id, now_ms))
     turn = emit(
         turn,
-        SendAttempt(attempt_id, target_id, forward.deadline_at_ms, forward.asked.request),
+        SendAttempt(
+            attempt_id,
+            target_id,
+            forward.deadline_at_ms,
+            forward.asked.request,
+            repeatable=forward.route.idempotent,
+        ),
     )
     return arm(_step(turn, piece, "sent"), hedge_at_ms)
 
--- a/savoryarch/model/_targets.py
+++ b/savoryarch/model/_targets.py
@@ -50,12 +50,16 @@
         Sent along as the time that is left, and enforced here.
     request : PartRequest or RouteRequest or ForwardedRequest
         What to send.
+    repeatable : bool
+        Whether it may run twice. What may not is sent on no connection that has been idle for
+        long: the target may have closed it, and then nobody knows whether the request has run.
     """
 
     attempt_id: str
     target_id: str
     deadline_at_ms: float
     request: PartRequest | RouteRequest | ForwardedRequest
+    repeatable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
