Time the process by the steady clock, and bound the end of a shutdown

Cause 1: Twisted's timers read the time of day, so that a step back of 8 s held up every poll, lease and deadline, and a step ahead ended every wait at once. Ruled out: the store (no call failed) and the poll interval (1 s).

--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -25,11 +25,13 @@
 )
 from savoryarch.platform import read_request, write_outcome
 from savoryarch.settings import Settings
+from savoryarch.shutdown import drain_time_ms
+from savoryarch.utils import make_system_clock, time_reactor
 
-DRAIN_TIMEOUT_S = 5.0  # for callers that read their last reply slowly
 NO_DECISION_EXIT_CODE = 1
 OPEN_REST_DELAY_S = 1.0  # clients that came back after a restart are served first
 COLLECTION_THRESHOLDS = (20_000, 10, 50)  # allocations, then collections of younger objects
+_MS_PER_S = 1000.0
 FRONT_BACKLOG = 1024  # connections that wait to be accepted after a start
 
 reactor: Any = default_reactor
@@ -55,6 +57,7 @@
     Writes one line ``ready callers=HOST:PORT operators=HOST:PORT peers=HOST:PORT`` to standard
     output once it listens; addresses that are not served are left out.
     """
+    time_reactor(reactor, make_system_clock())
     log = settings.log
     start_log(log.level.value, settings.instance.instance_id, log.stream.value, reactor)
     spare_collections()
@@ -82,6 +85,8 @@
     def __init__(self, settings: Settings, settings_path: str) -> None:
         self._settings = settings
         self._exit_code = NO_DECISION_EXIT_CODE
+        self._clock = make_system_clock()
+        self._stopped_at_ms = float("inf")
         self._life = make_machine(load_chart("process", ACTIONS), self._perform)
         self._ports: dict[str, Any] = {}
         self._site: Any = None
@@ -173,6 +178,7 @@
         reactor.callFromThread(self._settings_file.reload_if_changed)
 
     def _stop(self) -> None:
+        self._stopped_at_ms = min(self._stopped_at_ms, self._clock.now_ms())
         self._front.close_connections()
         self._instance.feed(StopAsked())
 
@@ -189,7 +195,9 @@
                 draining = [self._front.drain()]
                 if self._site is not None:
                     draining.append(self._site.drain())
-                drained = DeferredList(draining).addTimeout(DRAIN_TIMEOUT_S, reactor)
+                since_stop_ms = self._clock.now_ms() - self._stopped_at_ms
+                drain_ms = drain_time_ms(self._settings.shutdown, since_stop_ms)
+                drained = DeferredList(draining).addTimeout(drain_ms / _MS_PER_S, reactor)
                 drained.addBoth(lambda _: reactor.callLater(0, self._life.drained))
             case "stop_loop":
                 reactor.stop()
--- a/savoryarch/orders/_order.py
+++ b/savoryarch/orders/_order.py
@@ -241,14 +241,9 @@
     )
     targets = begin_attempt(turn.targets, order.target_id, turn.now_ms)
     request = RouteRequest(order.route.name, order.asked.idempotency_key, order.asked.body)
-    attempt = SendAttempt(
-        f"orders/{order.request_id}/{order.sent}",
-        order.target_id,
-        order.deadline_at_ms,
-        request,
-        repeatable=False,
-    )
-    return replace(turn, targets=targets).put_order(order).emit(attempt)
+    attempt_id = f"orders/{order.request_id}/{order.sent}"
+    send = SendAttempt(attempt_id, order.target_id, order.deadline_at_ms, request, repeatable=False)
+    return replace(turn, targets=targets).put_order(order).emit(send)
 
 
 def _settle_done(turn: Turn, order: Order, cause: object) -> Turn:
--- a/savoryarch/shutdown/_decide.py
+++ b/savoryarch/shutdown/_decide.py
@@ -29,6 +29,8 @@
 DEADLINE_TIMER = "shutdown/deadline"
 CUT_EXIT_CODE = 1
 MAX_LOGGED_REQUESTS = 20
+MAX_DRAIN_MS = 5000.0  # for callers that read their last answer slowly
+MIN_DRAIN_MS = 100.0  # to write the last answers out, within the kill margin
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,23 @@
     unfinished_ids: tuple[str, ...] = ()
 
 
+def drain_time_ms(settings: ShutdownSettings, since_stop_ms: float) -> float:
+    """Return how long connections may stay open after the last answer.
+
+    A caller that reads slowly, or that has sent half a request, must not hold the process beyond
+    the time after which the platform kills it.
+
+    Parameters
+    ----------
+    settings : ShutdownSettings
+        The settings.
+    since_stop_ms : float
+        Time since the stop was asked for.
+    """
+    left_ms = settings.shutdown_deadline_ms - settings.kill_margin_ms - since_stop_ms
+    return max(MIN_DRAIN_MS, min(MAX_DRAIN_MS, left_ms))
+
+
 def make_shutdown_state(settings: ShutdownSettings) -> ShutdownState:
     """Make the state of an instance that has not started yet."""
     return ShutdownState(settings, _CHART.initial)
--- a/savoryarch/shutdown/tests/test_shutdown.py
+++ b/savoryarch/shutdown/tests/test_shutdown.py
@@ -11,7 +11,12 @@
     TimerFired,
     UnfinishedChanged,
 )
-from savoryarch.shutdown import ShutdownSettings, decide_shutdown, make_shutdown_state
+from savoryarch.shutdown import (
+    ShutdownSettings,
+    decide_shutdown,
+    drain_time_ms,
+    make_shutdown_state,
+)
 
 SETTINGS = ShutdownSettings(balancer_lag_ms=5000, shutdown_deadline_ms=20_000)
 LAG, DEADLINE = TimerFired("shutdown/lag"), TimerFired("shutdown/deadline")
@@ -57,3 +62,22 @@
 )
 def test_shutdown(events, effects):
     assert run(events) == effects
+
+
+@pytest.mark.parametrize(
+    ("deadline_ms", "margin_ms", "since_stop_ms", "drain_ms"),
+    [
+        (60_000, 0, 6000.0, 5000.0),
+        (6000, 300, 3200.0, 2500.0),
+        (6000, 300, 5700.0, 100.0),
+        (6000, 300, 9000.0, 100.0),
+        (60_000, 0, float("-inf"), 5000.0),
+    ],
+)
+def test_open_connections_hold_the_process_no_longer_than_the_platform_waits(
+    deadline_ms, margin_ms, since_stop_ms, drain_ms
+):
+    settings = ShutdownSettings(
+        balancer_lag_ms=100, shutdown_deadline_ms=deadline_ms, kill_margin_ms=margin_ms
+    )
+    assert drain_time_ms(settings, since_stop_ms) == drain_ms
--- a/savoryarch/utils/__init__.py
+++ b/savoryarch/utils/__init__.py
@@ -1,7 +1,7 @@
 """Small helpers that every other subpackage may use."""
 
 from savoryarch.utils._budget import Budget, earn, spend
-from savoryarch.utils._clock import Clock, make_system_clock, make_wall_clock
+from savoryarch.utils._clock import Clock, make_system_clock, make_wall_clock, time_reactor
 from savoryarch.utils._findings import Finding, Place, format_findings
 from savoryarch.utils._heap import Heap, heap_pop, heap_push
 from savoryarch.utils._ini import IniDocument, IniEntry, IniSection, read_ini
@@ -55,6 +55,7 @@
     "heap_push",
     "make_system_clock",
     "make_wall_clock",
+    "time_reactor",
     "parse_value",
     "place_of",
     "read_ini",
--- a/savoryarch/utils/_clock.py
+++ b/savoryarch/utils/_clock.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 MS_PER_S = 1000.0
 
@@ -30,6 +31,15 @@
     return Clock(read_s=time.monotonic)
 
 
+def time_reactor(reactor: Any, clock: Clock) -> None:
+    """Have Twisted's timers follow a clock, before any of them is set.
+
+    By itself the reactor reads the time of day: a step back would hold up every timer for as long
+    as the step, and a step ahead would end every wait at once.
+    """
+    reactor.seconds = clock.read_s
+
+
 def make_wall_clock() -> Clock:
     """Make the clock of calendar time, in milliseconds since the Unix epoch."""
     return Clock(read_s=time.time)
