--- a/savoryarch/discovery/_decide.py
+++ b/savoryarch/discovery/_decide.py
@@ -6,7 +6,7 @@
 from savoryarch.discovery._entries import drop_lapsed, take_all, take_changes
 from savoryarch.discovery._pace import POLL_TIMER, hear_peers, schedule_poll, tell_peers
 from savoryarch.discovery._settings import DiscoverySettings
-from savoryarch.discovery._state import DiscoveryState, EntryCodec
+from savoryarch.discovery._state import NEVER_MS, DiscoveryState, EntryCodec
 from savoryarch.model import (
     Count,
     Decided,
@@ -94,7 +94,7 @@
             state = replace(state, registration=event)
             return Decided(state, (GrantLease(GRANT_CALL, state.settings.lease_ms),))
         case TimerFired(timer_id=timer_id) if timer_id == POLL_TIMER:
-            dropped = drop_lapsed(state, now_ms)
+            dropped = drop_lapsed(replace(state, look_at_ms=NEVER_MS), now_ms)
             stepped = _step(dropped.state, "due", None, now_ms)
             return replace(stepped, effects=dropped.effects + stepped.effects)
         case PeersChanged() | PeerSaid():
--- a/savoryarch/discovery/_pace.py
+++ b/savoryarch/discovery/_pace.py
@@ -1,7 +1,7 @@
 """When this instance looks at the store again.
 
 All instances together look about as often as a few would alone. Whoever finds changes tells the
-others, which look at once. Without peers an instance looks as often as if it were alone.
+others, which look within a second. Without peers an instance looks as often as if it were alone.
 """
 
 from dataclasses import replace
@@ -21,7 +21,9 @@
 POLL_TIMER = "discovery/poll"
 POLLERS = 4  # instances whose looks add up to one per interval; as many as the small sites have
 MIN_SPREAD, MAX_SPREAD = 0.75, 1.25  # of an interval, so that instances do not look together
-TOLD_SPREAD_MS = 150.0  # looks that one message asks for are spread over this time
+TOLD_SPREAD_MS = (
+    1000.0  # looks that news ask for are spread over this time; news often come in rows
+)
 _DRAWS = 1 << 32
 
 Step = Decided[DiscoveryState]
@@ -40,7 +42,7 @@
         return _look_soon(state, now_ms)
     state, draw = _draw(state)
     interval_ms = poll_interval_ms(state) * (MIN_SPREAD + (MAX_SPREAD - MIN_SPREAD) * draw)
-    return Decided(state, (SetTimer(POLL_TIMER, now_ms + interval_ms),))
+    return _look_at(state, now_ms + interval_ms)
 
 
 def tell_peers(before: DiscoveryState, state: DiscoveryState) -> Step:
@@ -73,7 +75,14 @@
 
 def _look_soon(state: DiscoveryState, now_ms: float) -> Step:
     state, draw = _draw(state)
-    return Decided(state, (SetTimer(POLL_TIMER, now_ms + TOLD_SPREAD_MS * draw),))
+    at_ms = now_ms + TOLD_SPREAD_MS * draw
+    if now_ms < state.look_at_ms <= at_ms:
+        return Decided(state)
+    return _look_at(state, at_ms)
+
+
+def _look_at(state: DiscoveryState, at_ms: float) -> Step:
+    return Decided(replace(state, look_at_ms=at_ms), (SetTimer(POLL_TIMER, at_ms),))
 
 
 def _draw(state: DiscoveryState) -> tuple[DiscoveryState, float]:
--- a/savoryarch/discovery/_state.py
+++ b/savoryarch/discovery/_state.py
@@ -84,6 +84,8 @@
         The newest revision that this instance told its peers of, or was told of.
     doubted_revision : int
         A revision that it was told of and that its last look did not find.
+    look_at_ms : float
+        When the next look is due, after a look that succeeded.
     polls : int
         Draws made so far for the time of the next look.
     """
@@ -104,6 +106,7 @@
     live_instances: int = 1
     told_revision: int = 0
     doubted_revision: int = 0
+    look_at_ms: float = NEVER_MS
     polls: int = 0
 
 
