--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,11 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-SOURCES := savoryarch savoryarch_standins savoryarch_bench benchmarks examples tests
+SOURCES := savoryarch savoryarch_standins savoryarch_bench savoryarch_soak benchmarks examples tests
 DEPLOYMENT ?= bertolini
 ARGS ?=
 
-.PHONY: help env demo test lint format bench guards capacity binary
+.PHONY: help env demo test lint format bench guards capacity binary soak
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' Makefile | sed -E 's/:.*## /\t/' | expand -t 12
@@ -24,7 +24,7 @@
 lint: env ## formatter, linter, type checker and shape check
 	$(BIN)/black --check --quiet $(wildcard $(SOURCES))
 	$(BIN)/ruff check --quiet $(wildcard $(SOURCES))
-	$(BIN)/mypy $(wildcard savoryarch savoryarch_standins savoryarch_bench)
+	$(BIN)/mypy $(wildcard savoryarch savoryarch_standins savoryarch_bench savoryarch_soak)
 	$(BIN)/python -m tests.check_shape
 
 format: env ## rewrite the sources with the formatter and the linter's fixes
@@ -40,6 +40,9 @@
 guards: env ## take each guard away and show the proofs that catch it
 	$(BIN)/python -m tests.guards $(ARGS)
 
+soak: env ## play a seed of faults on real processes (ARGS="--seed N --minutes M --instances K")
+	$(BIN)/python -m savoryarch_soak $(ARGS)
+
 capacity: env ## reprint every measured slope and the tables of docs/CAPACITY.md
 	$(BIN)/python -m savoryarch_bench.capacity $(ARGS)
 
--- a/savoryarch/platform/__init__.py
+++ b/savoryarch/platform/__init__.py
@@ -1,10 +1,36 @@
 """Adapter to the users' platform: its names, formats and calls; it decides nothing."""
 
-from savoryarch.platform._records import decode_table, decode_target, make_entry_codec
+from savoryarch.platform._records import (
+    CONFIGURATION_KEY,
+    TARGETS_PREFIX,
+    decode_table,
+    decode_target,
+    make_entry_codec,
+)
 from savoryarch.platform._store import decode_store_reply, encode_store_call
-from savoryarch.platform._wire import PlatformDialect, read_request, write_outcome
+from savoryarch.platform._wire import (
+    DEADLINE_MS,
+    DIGEST,
+    EXPECTED_TARGET,
+    MISSING_PARTS,
+    NOT_RUN,
+    PART_DIGESTS,
+    REQUEST_ID,
+    PlatformDialect,
+    read_request,
+    write_outcome,
+)
 
 __all__ = [
+    "CONFIGURATION_KEY",
+    "DEADLINE_MS",
+    "DIGEST",
+    "EXPECTED_TARGET",
+    "MISSING_PARTS",
+    "NOT_RUN",
+    "PART_DIGESTS",
+    "REQUEST_ID",
+    "TARGETS_PREFIX",
     "PlatformDialect",
     "decode_store_reply",
     "decode_table",
--- a/savoryarch/platform/_wire.py
+++ b/savoryarch/platform/_wire.py
@@ -30,6 +30,8 @@
 DIGEST = "response-stamp"
 EXPECTED_TARGET = "expect-instance"
 NOT_RUN = "not-executed"
+PART_DIGESTS = "Part-Stamps"
+MISSING_PARTS = "Missing-Parts"
 _HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -176,8 +178,8 @@
             return ClientAnswer(status, headers, body)
         case PartsAnswered(digests=digests, missing=missing, body=body):
             fields: Fields = (
-                (b"Part-Stamps", ", ".join(digests).encode()),
-                (b"Missing-Parts", str(missing).encode()),
+                (PART_DIGESTS.encode(), ", ".join(digests).encode()),
+                (MISSING_PARTS.encode(), str(missing).encode()),
             )
             return ClientAnswer(200, fields, body)
         case Refused(reason=reason, detail=detail, retry_after_ms=retry_after_ms):
--- /dev/null
+++ b/savoryarch_soak/__main__.py
@@ -0,0 +1,86 @@
+"""Runs a soak: ``python -m savoryarch_soak --seed N --seconds S --instances K``."""
+
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from fire import Fire
+from twisted.internet import reactor as default_reactor
+from twisted.python.failure import Failure
+
+from savoryarch.utils import make_system_clock, time_reactor
+from savoryarch_soak._checks import check_journal
+from savoryarch_soak._journal import Journal
+from savoryarch_soak._plan import RECOVERY_MS, WARM_UP_MS, draw_plan
+from savoryarch_soak._report import format_report, plot_run, write_json
+from savoryarch_soak._world import World
+
+reactor: Any = default_reactor
+
+
+def soak(
+    seed: int = 1,
+    seconds: float = 20.0,
+    instances: int = 4,
+    requests_per_s: float = 60.0,
+    minutes: float = 0.0,
+    out: str = "",
+    show_plan: bool = False,
+) -> None:
+    """Play one seed; ends with status 1 if a promise was broken.
+
+    Parameters
+    ----------
+    seed : int
+        From which the schedule of faults is drawn.
+    seconds, minutes : float
+        Length of the run; minutes go first if given.
+    instances : int
+        Entry instances.
+    requests_per_s : float
+        That clients begin.
+    out : str
+        Folder for the logs, the JSON report and the plot; a temporary one if empty.
+    show_plan : bool
+        Print every fault of the schedule first.
+    """
+    length_s = minutes * 60.0 or seconds
+    least_s = (WARM_UP_MS + RECOVERY_MS) / 1000.0
+    if length_s <= least_s:
+        sys.exit(f"--seconds: got {length_s:g}, expected more than {least_s:g}")
+    plan = draw_plan(seed, length_s, instances, requests_per_s)
+    if show_plan:
+        print("\n".join(map(str, plan.faults)))
+    with tempfile.TemporaryDirectory(prefix="savoryarch-soak-") as temporary:
+        folder = Path(out or temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        journal = _play(World(plan, folder, reactor, make_system_clock()))
+        checked = check_journal(journal)
+        print(format_report(plan, journal, checked), flush=True)
+        if out:
+            write_json(plan, checked, journal, folder / "report.json")
+            plot_run(plan, journal, folder / "report.png")
+    sys.exit(1 if any(row.violations for row in checked) else 0)
+
+
+def _play(world: World) -> Journal:
+    time_reactor(reactor, make_system_clock())
+    results: list[Journal | Failure] = []
+
+    def stop(result: Journal | Failure) -> None:
+        results.append(result)
+        reactor.stop()
+
+    reactor.callWhenRunning(lambda: world.play().addBoth(stop))
+    reactor.run()
+    if not results:
+        sys.exit("interrupted")
+    if isinstance(results[0], Failure):
+        results[0].raiseException()
+    assert isinstance(results[0], Journal)
+    return results[0]
+
+
+if __name__ == "__main__":
+    Fire(soak)
--- /dev/null
+++ b/savoryarch_soak/_instances.py
@@ -0,0 +1,207 @@
+"""Entry instances under test: their settings, lives and clients."""
+
+import signal
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from savoryarch.utils import Clock
+from savoryarch_soak._checks import BUDGET_EXTRA, BUDGET_RATIO, BUDGET_WINDOW_MS, GRACE_MS
+from savoryarch_soak._clients import Clients
+from savoryarch_soak._journal import Exchange, Exited
+from savoryarch_soak._process import SoakProcess
+from savoryarch_standins.harness import Address
+
+HOST = "127.0.0.1"
+_SETTINGS = """\
+[instance]
+instance_id = entry-{number}
+availability_zone = zone-{zone}
+
+[front]
+address = {front}
+ready_address = {ready}
+
+[callers]
+enabled = no
+
+[operators]
+enabled = no
+
+[peers]
+host = {host}
+port = {peers}
+private_network = yes
+
+[platform]
+store_url = http://{store}
+
+[discovery]
+enabled = yes
+poll_interval_ms = 300
+
+[targets]
+entry_instances = {instances}
+probe_retry_ms = 200
+warm_up_ms = 200
+
+[forwarding]
+enabled = yes
+extra_ratio = {ratio}
+extra_requests = {extra}
+extra_window_ms = {window_ms}
+
+[shutdown]
+await_targets = yes
+balancer_lag_ms = 600
+shutdown_deadline_ms = {grace_ms}
+kill_margin_ms = 300
+
+[log]
+stream = stdout
+"""
+
+
+class SoakInstance:
+    """One entry instance, over all of its lives.
+
+    Parameters
+    ----------
+    number : int
+        Which one.
+    settings : str
+        Text of its settings.
+    front : Address
+        Where clients connect.
+    folder : Path
+        For its settings file and log.
+    reactor, clock
+        Of the soak.
+    record : callable
+        Takes each `Exchange`.
+    note_exit : callable
+        Takes each `Exited`.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        settings: str,
+        front: Address,
+        folder: Path,
+        reactor: Any,
+        clock: Clock,
+        record: Callable[[Exchange], None],
+        note_exit: Callable[[Exited], None],
+    ) -> None:
+        self.number = number
+        self.life = 0
+        self.clients = Clients(reactor, clock, front, record)
+        self._settings = settings
+        self._path = folder / f"entry-{number}.ini"
+        self._log_path = folder / f"entry-{number}.log"
+        self._reactor = reactor
+        self._clock = clock
+        self._note_exit = note_exit
+        self._process: SoakProcess | None = None
+        self._asked_at_ms: float | None = None
+        self._killed = False
+        self._rewritten = 0
+        self._path.write_text(settings, encoding="utf-8")
+
+    def start(self) -> None:
+        """Start the next life unless one is under way."""
+        if self._process is not None:
+            return
+        self.life += 1
+        self._asked_at_ms, self._killed = None, False
+        arguments = ["-m", "savoryarch", "serve", "--settings", str(self._path)]
+        self._process = SoakProcess(self._reactor, arguments, self._log_path)
+        self._process.exited.addCallback(self._exited)
+
+    def is_running(self) -> bool:
+        """Return whether a life is under way."""
+        return self._process is not None
+
+    def ended(self) -> "Deferred[None]":
+        """Return a Deferred that fires when no life is under way."""
+        ended: Deferred[None] = Deferred()
+        if self._process is None:
+            ended.callback(None)
+        else:
+            self._process.exited.addCallback(lambda _: ended.callback(None))
+        return ended
+
+    def kill(self) -> None:
+        """End it at once."""
+        self._killed = True
+        self._signal(signal.SIGKILL)
+
+    def stop(self) -> None:
+        """Ask it to end."""
+        if self._asked_at_ms is None:
+            self._asked_at_ms = self._clock.now_ms()
+        self._signal(signal.SIGTERM)
+
+    def freeze(self) -> None:
+        """Hold it up."""
+        self._killed = True
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self._signal(signal.SIGCONT)
+
+    def reload(self) -> None:
+        """Write its settings again, with another harmless value, and tell it."""
+        self._rewritten += 1
+        changed = self._settings.replace(
+            "warm_up_ms = 200", f"warm_up_ms = {200 + self._rewritten % 2}"
+        )
+        self._path.write_text(changed, encoding="utf-8")
+        self._signal(signal.SIGHUP)
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._process is not None:
+            self._process.send_signal(number)
+
+    def _exited(self, code: int | None) -> None:
+        self._process = None
+        self._note_exit(
+            Exited(
+                self.number,
+                self.life,
+                self._clock.now_ms(),
+                code,
+                self._asked_at_ms,
+                self._killed,
+            )
+        )
+
+
+def write_settings(number: int, instances: int, front: Address, store: Address) -> str:
+    """Return the settings of an instance."""
+    return _SETTINGS.format(
+        number=number,
+        zone="ab"[number % 2],
+        host=HOST,
+        front=front,
+        ready=free_address(),
+        peers=free_address().port,
+        store=store,
+        instances=instances,
+        ratio=BUDGET_RATIO,
+        extra=BUDGET_EXTRA,
+        window_ms=BUDGET_WINDOW_MS,
+        grace_ms=GRACE_MS,
+    )
+
+
+def free_address() -> Address:
+    """Return an address that the system gave and that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return Address(HOST, probe.getsockname()[1])
--- /dev/null
+++ b/savoryarch_soak/_plan.py
@@ -0,0 +1,140 @@
+"""Draws the schedule of a soak from its seed."""
+
+from dataclasses import dataclass
+from typing import TypeVar
+
+from numpy.random import Generator, default_rng
+
+from savoryarch_soak._faults import (
+    BreakLink,
+    BreakStore,
+    BreakTargets,
+    ChangeTable,
+    DriveTarget,
+    Fault,
+    FreezeInstance,
+    KillInstance,
+    KillTargets,
+    ReloadInstance,
+    StopInstance,
+)
+
+Choice = TypeVar("Choice")
+SERVICES = ("shop", "till")
+SHARD_SETS = (tuple(f"old-{n}" for n in range(4)), tuple(f"new-{n}" for n in range(6)))
+REPLICAS = 3  # one process of targets each
+WARM_UP_MS = 1500.0  # without faults, so that there is something to break
+RECOVERY_MS = 6000.0  # at the end, in which nothing is broken any more
+MEAN_GAP_MS = 450.0  # between faults, so that about three are under way at a time
+MEAN_FAULT_MS = 1200.0
+MAX_FAULT_MS = 3000.0
+SERIES_SHARE = 0.3  # of the faults come several times in a row
+SERIES_GAP_MS = 250.0
+_STORE_SWITCHES: tuple[tuple[tuple[str, float], ...], ...] = (
+    (("outage", True),),
+    (("delay_ms", 300.0),),
+    (("reply_delay_ms", 1500.0),),
+    (("lose_calls", 20),),
+    (("lose_replies", 20),),
+    (("reads_per_s", 2.0), ("writes_per_s", 2.0)),
+    (("forgets", True),),
+)
+_TARGET_SWITCHES = (
+    ("work_ms", 60.0),
+    ("refuse_share", 0.5),
+    ("fail_share", 0.3),
+    ("garble_share", 0.2),
+    ("double_share", 0.3),
+    ("cut_share", 0.2),
+    ("silent_share", 0.2),
+    ("drop_idle_ms", 40.0),
+)
+_LINK_MODES = ("delay", "reset", "mute_to", "mute_from", "silence")
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """One run.
+
+    Parameters
+    ----------
+    seed : int
+        From which the schedule is drawn.
+    length_ms : float
+        From the first request to the last.
+    instances : int
+        Entry instances.
+    requests_per_s : float
+        That clients begin, whatever becomes of the earlier ones.
+    faults : tuple
+        In the order of their times.
+    """
+
+    seed: int
+    length_ms: float
+    instances: int
+    requests_per_s: float
+    faults: tuple[Fault, ...]
+
+
+def services() -> tuple[str, ...]:
+    """Return every service of the soak."""
+    return SERVICES + SHARD_SETS[0] + SHARD_SETS[1]
+
+
+def link_count(instances: int) -> int:
+    """Return the number of links: one to the store per instance, one per target."""
+    return instances + REPLICAS * len(services())
+
+
+def draw_plan(seed: int, seconds: float, instances: int, requests_per_s: float) -> SoakPlan:
+    """Draw a plan; the same arguments give the same plan."""
+    rng = default_rng(seed)
+    length_ms = 1000.0 * seconds
+    faults: list[Fault] = []
+    at_ms = WARM_UP_MS
+    while at_ms < length_ms - RECOVERY_MS:
+        count = int(rng.integers(2, 4)) if rng.random() < SERIES_SHARE else 1
+        kind = int(rng.integers(0, 12))
+        for number in range(count):
+            start_ms = at_ms + number * SERIES_GAP_MS
+            left_ms = max(0.0, length_ms - RECOVERY_MS - start_ms)
+            for_ms = min(MAX_FAULT_MS, rng.exponential(MEAN_FAULT_MS), left_ms)
+            faults.append(_draw_fault(rng, kind, round(start_ms), round(for_ms), instances))
+        at_ms += rng.exponential(MEAN_GAP_MS)
+    ordered = tuple(sorted(faults, key=lambda fault: fault.at_ms))
+    return SoakPlan(seed, length_ms, instances, requests_per_s, ordered)
+
+
+def _draw_fault(rng: Generator, kind: int, at_ms: float, for_ms: float, instances: int) -> Fault:
+    instance = int(rng.integers(0, instances))
+    process = int(rng.integers(0, REPLICAS))
+    target = int(rng.integers(0, REPLICAS * len(services())))
+    match kind:
+        case 0:
+            return KillInstance(at_ms, instance, for_ms)
+        case 1:
+            return StopInstance(at_ms, instance, for_ms)
+        case 2:
+            return FreezeInstance(at_ms, instance, for_ms)
+        case 3:
+            return ReloadInstance(at_ms, instance)
+        case 4 | 5:
+            return BreakStore(at_ms, for_ms, _pick(rng, _STORE_SWITCHES))
+        case 6 | 7:
+            return BreakTargets(at_ms, for_ms, process, (_pick(rng, _TARGET_SWITCHES),))
+        case 8:
+            drained = rng.random() < 0.5
+            event, back = ("drain", "restore") if drained else ("crash", "restart")
+            return DriveTarget(at_ms, for_ms, target, event, back)
+        case 9:
+            return KillTargets(at_ms, process, for_ms)
+        case 10:
+            link = int(rng.integers(0, link_count(instances)))
+            return BreakLink(at_ms, for_ms, link, _pick(rng, _LINK_MODES), delay_ms=50.0)
+        case _:
+            return ChangeTable(at_ms)
+
+
+def _pick(rng: Generator, choices: tuple[Choice, ...]) -> Choice:
+    return choices[int(rng.integers(0, len(choices)))]
--- /dev/null
+++ b/savoryarch_soak/_tables.py
@@ -0,0 +1,32 @@
+"""The operator's configuration in a soak."""
+
+import msgspec
+
+from savoryarch_soak._checks import CONNECTION_LIMIT, MINIMUM_COVERAGE, TOP_RECORDS
+from savoryarch_soak._plan import services
+
+TIMEOUT_MS = 2000.0
+OBJECTIVE_MS = 150.0
+
+
+def make_table(version: int, shards: tuple[str, ...], host: str) -> bytes:
+    """Return the value of the configuration's key."""
+    common: dict[str, object] = {"host": host, "timeout-ms": TIMEOUT_MS, "slo-ms": OBJECTIVE_MS}
+    routes: list[dict[str, object]] = [
+        {"name": "read", "path-prefix": "/read/", "type": "idempotent", "service": "shop"},
+        {"name": "order", "path-prefix": "/order/", "type": "non_idempotent", "service": "till"},
+        {
+            "name": "find",
+            "path-prefix": "/find/",
+            "type": "idempotent",
+            "gather": list(shards),
+            "top-k": TOP_RECORDS,
+            "min-coverage": MINIMUM_COVERAGE,
+        },
+    ]
+    table = {
+        "version": version,
+        "routes": [route | common for route in routes],
+        "services": [{"name": name, "max-conns": CONNECTION_LIMIT} for name in services()],
+    }
+    return msgspec.json.encode(table)
--- /dev/null
+++ b/savoryarch_soak/_world.py
@@ -0,0 +1,357 @@
+"""Starts everything, plays the faults of a plan, and returns the journal."""
+
+import signal
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks
+from twisted.internet.task import LoopingCall
+from twisted.web.client import Agent
+
+from savoryarch.model import KeyAbsent, KeyRead, SwapConflict, SwapKey, Swapped
+from savoryarch.model import ReadKey as ReadStoreKey
+from savoryarch.platform import CONFIGURATION_KEY, decode_store_reply, encode_store_call
+from savoryarch.store import StoreClient, StoreSettings
+from savoryarch.utils import Clock
+from savoryarch_soak._clients import HOST as CLIENT_HOST
+from savoryarch_soak._faults import (
+    BreakLink,
+    BreakStore,
+    BreakTargets,
+    ChangeTable,
+    DriveTarget,
+    Fault,
+    FreezeInstance,
+    KillInstance,
+    KillTargets,
+    ReloadInstance,
+    StopInstance,
+)
+from savoryarch_soak._instances import SoakInstance, free_address, write_settings
+from savoryarch_soak._journal import Exchange, Exited, Injected, Journal, TableWritten
+from savoryarch_soak._links import Link
+from savoryarch_soak._plan import REPLICAS, SHARD_SETS, SoakPlan, services
+from savoryarch_soak._process import SoakProcess
+from savoryarch_soak._tables import make_table
+from savoryarch_standins.forwarded import Arrival, TargetSwitches
+from savoryarch_standins.harness import Address
+from savoryarch_standins.store import StoreSwitches
+
+ROUTES = ("read", "find", "order", "find")
+START_TIMEOUT_S = 20.0
+SETTLE_MS = 4000.0  # after the last request, for what is still under way
+PROBE_INTERVAL_S = 0.1
+COLLECT_INTERVAL_S = 0.5  # arrivals are read often, so that few are lost with a killed process
+_MS_PER_S = 1000.0
+
+
+class World:
+    """One run of a plan.
+
+    Parameters
+    ----------
+    plan : SoakPlan
+        What to play.
+    folder : Path
+        For settings and logs.
+    reactor, clock
+        Of the soak.
+    """
+
+    def __init__(self, plan: SoakPlan, folder: Path, reactor: Any, clock: Clock) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._reactor = reactor
+        self._clock = clock
+        agent: Any = Agent(reactor, connectTimeout=1.0)
+        self._client = HTTPClient(agent)
+        self._journal = Journal(0.0, 0.0)
+        self._processes: list[SoakProcess] = []
+        self._targets: dict[int, SoakProcess] = {}
+        self._controls: dict[int, Address] = {}
+        self._collected: dict[int, int] = {}
+        self._links = [Link(reactor) for _ in range(plan.instances + REPLICAS * len(services()))]
+        self._instances: list[SoakInstance] = []
+        self._version = 0
+        self._sent = 0
+        self._open = 0
+        reactor.addSystemEventTrigger("before", "shutdown", self._end_all)
+
+    @inlineCallbacks
+    def play(self) -> Any:
+        """Play the plan; returns a Deferred of the `Journal`."""
+        store = self._start(["-m", "savoryarch_standins.store"], "store")
+        fields = yield store.ready
+        self._store = Address(fields["host"], int(fields["port"]))
+        settings = StoreSettings(f"http://{self._store}")
+        self._store_client = StoreClient(
+            settings, self._reactor, encode_store_call, decode_store_reply
+        )
+        for process in range(REPLICAS):
+            yield self._start_targets(process)
+        yield self._write_table()
+        self._make_instances()
+        for instance in self._instances:
+            instance.start()
+        yield self._until_served()
+        yield self._run()
+        yield self._collect()
+        ended = [self._end_instance(instance) for instance in self._instances]
+        yield DeferredList(ended)
+        return self._journal
+
+    def _start(self, arguments: list[str], name: str) -> SoakProcess:
+        process = SoakProcess(self._reactor, arguments, self._folder / f"{name}.log")
+        self._processes.append(process)
+        return process
+
+    @inlineCallbacks
+    def _start_targets(self, process: int) -> Any:
+        words = []
+        for number, service in enumerate(services()):
+            port = self._target_link(process, number).address.port
+            words.append(f"{service}-{process}:{service}:{port}")
+        arguments = ["-m", "savoryarch_standins.forwarded", "--store", f"http://{self._store}"]
+        started = self._start([*arguments, "--targets", ",".join(words)], f"targets-{process}")
+        self._targets[process], self._collected[process] = started, 0
+        fields = yield started.ready
+        self._controls[process] = Address(fields["host"], int(fields["control"]))
+        for number, word in enumerate(fields["ports"].split(",")):
+            port = int(word.rpartition(":")[2])
+            self._target_link(process, number).upstream = Address(fields["host"], port)
+
+    def _target_link(self, process: int, number: int) -> Link:
+        return self._links[self._plan.instances + process * len(services()) + number]
+
+    def _make_instances(self) -> None:
+        count = self._plan.instances
+        for number in range(count):
+            link = self._links[number]
+            link.upstream = self._store
+            front = free_address()
+            settings = write_settings(number, count, front, link.address)
+            self._instances.append(
+                SoakInstance(
+                    number,
+                    settings,
+                    front,
+                    self._folder,
+                    self._reactor,
+                    self._clock,
+                    self._take_exchange,
+                    self._take_exit,
+                )
+            )
+
+    @inlineCallbacks
+    def _write_table(self) -> Any:
+        """Write the next version; settles what became of it, whatever the store does."""
+        self._version += 1
+        version, shards = self._version, SHARD_SETS[self._version % 2]
+        value = make_table(version, shards, CLIENT_HOST)
+        while True:
+            read = yield self._store_client.perform(ReadStoreKey("read", CONFIGURATION_KEY))
+            match read:
+                case KeyRead(value=held) if held == value:
+                    break
+                case KeyRead(revision=revision):
+                    pass
+                case KeyAbsent():
+                    revision = 0
+                case _:
+                    yield self._sleep(PROBE_INTERVAL_S)
+                    continue
+            written = yield self._store_client.perform(
+                SwapKey("write", CONFIGURATION_KEY, value, revision)
+            )
+            if isinstance(written, Swapped):
+                break
+            if not isinstance(written, SwapConflict):
+                yield self._sleep(PROBE_INTERVAL_S)
+        row = TableWritten(self._clock.now_ms(), version, shards)
+        self._journal = replace(self._journal, tables=(*self._journal.tables, row))
+
+    @inlineCallbacks
+    def _until_served(self) -> Any:
+        """Send searches until every instance has answered one whole."""
+        for _ in range(int(START_TIMEOUT_S / PROBE_INTERVAL_S)):
+            served = {item.instance for item in self._journal.exchanges if item.status == 200}
+            if len(served) == len(self._instances):
+                return
+            for number in range(len(self._instances)):
+                self._send(number, "find")
+            yield self._sleep(PROBE_INTERVAL_S)
+        raise TimeoutError(f"not all instances served within {START_TIMEOUT_S} s")
+
+    @inlineCallbacks
+    def _run(self) -> Any:
+        began_at_ms = self._clock.now_ms()
+        ended_at_ms = began_at_ms + self._plan.length_ms
+        self._journal = replace(
+            self._journal, began_at_ms=began_at_ms, ended_at_ms=ended_at_ms, exchanges=()
+        )
+        for fault in self._plan.faults:
+            self._later(fault.at_ms, self._inject, fault)
+        sending = LoopingCall(self._send_next)
+        sending.clock = self._reactor
+        collecting = LoopingCall(self._collect)
+        sending.start(1.0 / self._plan.requests_per_s)
+        collecting.start(COLLECT_INTERVAL_S)
+        yield self._sleep(self._plan.length_ms / _MS_PER_S)
+        sending.stop()
+        yield self._sleep(SETTLE_MS / _MS_PER_S)
+        collecting.stop()
+
+    def _send_next(self) -> None:
+        self._send(self._sent % len(self._instances), ROUTES[self._sent % len(ROUTES)])
+
+    def _send(self, number: int, route: str) -> None:
+        self._sent += 1
+        instance = self._instances[number]
+        name = f"s{self._plan.seed}-{self._sent}"
+        now_ms = self._clock.now_ms()
+        instance.clients.send(Exchange(name, route, number, instance.life, now_ms, now_ms))
+
+    def _take_exchange(self, exchange: Exchange) -> None:
+        self._journal = replace(self._journal, exchanges=(*self._journal.exchanges, exchange))
+
+    def _take_exit(self, ended: Exited) -> None:
+        self._journal = replace(self._journal, exits=(*self._journal.exits, ended))
+
+    def _inject(self, fault: Fault) -> None:
+        now_ms = self._clock.now_ms()
+        self._begin(fault)
+        self._later(fault.for_ms, self._end, fault)
+        over_ms = now_ms + fault.for_ms + _aftermath_ms(fault)
+        row = Injected(fault, now_ms, over_ms)
+        self._journal = replace(self._journal, injected=(*self._journal.injected, row))
+
+    def _begin(self, fault: Fault) -> None:  # noqa: C901
+        match fault:
+            case KillInstance(instance=number):
+                self._instances[number].kill()
+            case StopInstance(instance=number):
+                self._instances[number].stop()
+            case FreezeInstance(instance=number):
+                self._instances[number].freeze()
+            case ReloadInstance(instance=number):
+                self._instances[number].reload()
+            case BreakStore(switches=switches):
+                self._post(self._store, "/switches", dict(switches))
+            case BreakTargets(process=process, switches=switches):
+                self._post(self._controls[process], "/switches", dict(switches))
+            case DriveTarget(target=target, event=event):
+                self._drive(target, event)
+            case KillTargets(process=process):
+                self._targets[process].send_signal(signal.SIGKILL)
+            case BreakLink(link=link, mode="reset"):
+                self._links[link].reset()
+            case BreakLink(link=link, mode="silence"):
+                self._links[link].silence()
+            case BreakLink(link=link, mode=mode, delay_ms=delay_ms):
+                self._links[link].mode, self._links[link].delay_ms = mode, delay_ms
+            case ChangeTable():
+                self._write_table()
+
+    def _end(self, fault: Fault) -> None:
+        match fault:
+            case KillInstance(instance=number) | StopInstance(instance=number):
+                self._start_again(self._instances[number])
+            case FreezeInstance(instance=number):
+                self._instances[number].thaw()
+            case BreakStore(switches=switches):
+                defaults = msgspec.to_builtins(StoreSwitches())
+                cleared = {name: defaults[name] for name, _ in switches}
+                self._post(self._store, "/switches", cleared)
+            case BreakTargets(process=process):
+                self._post(
+                    self._controls[process], "/switches", msgspec.to_builtins(TargetSwitches())
+                )
+            case DriveTarget(target=target, back=back):
+                self._drive(target, back)
+            case KillTargets(process=process) if self._targets[process].exited.called:
+                self._start_targets(process)
+            case BreakLink(link=link):
+                self._links[link].mode = ""
+            case _:
+                return
+
+    def _start_again(self, instance: SoakInstance) -> None:
+        """Start an instance as soon as it has ended."""
+        if instance.is_running():
+            self._reactor.callLater(PROBE_INTERVAL_S, self._start_again, instance)
+        else:
+            instance.start()
+
+    def _drive(self, target: int, event: str) -> None:
+        process, number = divmod(target, len(services()))
+        name = f"{services()[number]}-{process}"
+        self._post(self._controls[process], f"/drive/{name}/{event}", {})
+
+    def _post(self, address: Address, path: str, body: dict[str, Any]) -> None:
+        # The process may have been killed meanwhile; its successor starts without switches.
+        sent = self._client.post(
+            f"http://{address}{path}", data=msgspec.json.encode(body), reactor=self._reactor
+        )
+        sent.addCallbacks(lambda reply: reply.content(), lambda failure: None)
+
+    @inlineCallbacks
+    def _collect(self) -> Any:
+        for process, control in self._controls.items():
+            url = f"http://{control}/arrivals?from={self._collected[process]}"
+            try:
+                reply = yield self._client.get(url, reactor=self._reactor, timeout=1.0)
+                content = yield reply.content()
+            except Exception:  # noqa: BLE001
+                continue  # killed; what it had not told is lost, and no check counts on it
+            body = msgspec.json.decode(content, type=_Report)
+            self._collected[process] += len(body.arrivals)
+            most = dict(self._journal.most_connections)
+            for name, count in body.most_connections.items():
+                most[name] = max(most.get(name, 0), count)
+            self._journal = replace(
+                self._journal,
+                arrivals=(*self._journal.arrivals, *body.arrivals),
+                most_connections=most,
+            )
+
+    def _end_instance(self, instance: SoakInstance) -> "Deferred[Any]":
+        instance.stop()
+        return instance.ended()
+
+    def _sleep(self, seconds: float) -> "Deferred[None]":
+        slept: Deferred[None] = Deferred()
+        self._reactor.callLater(seconds, slept.callback, None)
+        return slept
+
+    def _later(self, delay_ms: float, call: Any, *arguments: Any) -> None:
+        self._reactor.callLater(delay_ms / _MS_PER_S, call, *arguments)
+
+    def _end_all(self) -> None:
+        for instance in self._instances:
+            instance.thaw()
+            instance.kill()
+        for process in self._processes:
+            if not process.exited.called:
+                process.send_signal(signal.SIGKILL)
+
+
+class _Report(msgspec.Struct):
+    arrivals: tuple[Arrival, ...]
+    most_connections: dict[str, int]
+
+
+def _aftermath_ms(fault: Fault) -> float:
+    """Return how long after its end a fault still holds things up by itself."""
+    match fault:
+        case KillInstance() | StopInstance():
+            return 5000.0  # the start of the next life, beside everything else on the machine
+        case KillTargets() | DriveTarget(event="crash"):
+            return 3000.0
+        case BreakLink(mode="silence"):
+            return 5000.0  # until both ends have found out
+        case _:
+            return 0.0
--- /dev/null
+++ b/savoryarch_standins/forwarded/__main__.py
@@ -0,0 +1,92 @@
+"""Runs targets of forwarded requests: ``python -m savoryarch_standins.forwarded --help``."""
+
+from typing import Any
+
+import msgspec
+from fire import Fire
+from klein import Klein
+from twisted.internet import reactor as installed_reactor
+from twisted.web.server import Request, Site
+
+from savoryarch.platform import decode_store_reply, encode_store_call
+from savoryarch.store import StoreClient, StoreSettings
+from savoryarch.utils import make_system_clock, make_wall_clock
+from savoryarch_standins.forwarded._model import Arrival, TargetPlan, TargetSwitches
+from savoryarch_standins.forwarded._registrar import Registrar
+from savoryarch_standins.forwarded._server import TargetServer
+
+reactor: Any = installed_reactor
+
+
+class Control:
+    """Switches of the targets of the process, and what reached them."""
+
+    app = Klein()
+
+    def __init__(self) -> None:
+        self.servers: dict[str, TargetServer] = {}
+        self.arrivals: list[Arrival] = []
+
+    @app.route("/switches", methods=["POST"])
+    def switch(self, request: Request) -> bytes:
+        """Replace the switches of every target."""
+        content = request.content.read() if request.content else b"{}"
+        switches = msgspec.json.decode(content, type=TargetSwitches)
+        for server in self.servers.values():
+            server.switches = switches
+        return b"{}"
+
+    @app.route("/drive/<name>/<event>", methods=["POST"])
+    def drive(self, request: Request, name: str, event: str) -> bytes:
+        """Drive one target."""
+        self.servers[name].drive(event)
+        return b"{}"
+
+    @app.route("/arrivals", methods=["GET"])
+    def report(self, request: Request) -> bytes:
+        """Report every arrival from a number on, and the most connections of each target."""
+        first = int(request.args.get(b"from", [b"0"])[0])
+        most = {name: item.state.most_connections for name, item in self.servers.items()}
+        return msgspec.json.encode({"arrivals": self.arrivals[first:], "most_connections": most})
+
+
+def serve(store: str, targets: str, host: str = "127.0.0.1", connection_limit: int = 24) -> None:
+    """Serve targets until the process is ended.
+
+    Parameters
+    ----------
+    store : str
+        Base URL of the store.
+    targets : str
+        ``NAME:SERVICE:PORT`` of each, separated by commas; the port is the one that it registers,
+        0 for its own.
+    host : str
+        IP number to listen on and to register.
+    connection_limit : int
+        Of each target.
+    """
+    control = Control()
+    client = StoreClient(StoreSettings(store), reactor, encode_store_call, decode_store_reply)
+    clock, wall_clock = make_system_clock(), make_wall_clock()
+    ports: list[str] = []
+    for words in targets.split(",") if isinstance(targets, str) else targets:
+        name, service, port = words.split(":")
+        plan = TargetPlan(name, service, connection_limit=connection_limit)
+        server = TargetServer(
+            plan,
+            f"{host}:{port}",
+            reactor,
+            clock,
+            wall_clock,
+            Registrar(client, reactor, name),
+            control.arrivals.append,
+        )
+        control.servers[name] = server
+        ports.append(f"{name}:{server.listen(host)}")
+    site = reactor.listenTCP(0, Site(control.app.resource()), interface=host)
+    print(f"ready host={host} ports={','.join(ports)} control={site.getHost().port}", flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    Fire(serve)
--- /dev/null
+++ b/savoryarch_standins/forwarded/_registrar.py
@@ -0,0 +1,84 @@
+"""Keeps the registration of one target in the store."""
+
+from typing import Any
+
+import msgspec
+
+from savoryarch.model import (
+    GrantLease,
+    KeepLease,
+    LeaseEnded,
+    LeaseGranted,
+    PutLeased,
+    StoreReply,
+    Swapped,
+)
+from savoryarch.platform import TARGETS_PREFIX
+from savoryarch.store import StoreClient
+
+LEASE_MS = 2000.0
+BEAT_S = 0.5  # a quarter of the lease, so that two beats may be lost
+
+
+class Registrar:
+    """Writes a registration under a lease and renews it while it is wanted.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    reactor : object
+        Twisted's reactor.
+    name : str
+        Under which the target registers.
+    """
+
+    def __init__(self, store: StoreClient, reactor: Any, name: str) -> None:
+        self._store = store
+        self._reactor = reactor
+        self._key = TARGETS_PREFIX + name
+        self._value = b""
+        self._written = b""
+        self._lease_id: int | None = None
+
+    def start(self) -> None:
+        """Renew at intervals."""
+        self._renew()
+        self._reactor.callLater(BEAT_S, self.start)
+
+    def publish(self, fields: dict[str, Any]) -> None:
+        """Register these fields from now on; none lets the registration lapse."""
+        self._value = msgspec.json.encode(fields) if fields else b""
+        self._renew()
+
+    def _renew(self) -> None:
+        if not self._value:
+            self._lease_id = None
+        elif self._lease_id is None:
+            self._store.perform(GrantLease("grant", LEASE_MS)).addCallback(self._take)
+        elif self._written != self._value:
+            self._put()
+        else:
+            self._store.perform(KeepLease("keep", self._lease_id)).addCallback(self._take)
+
+    def _put(self) -> None:
+        if self._lease_id is not None and self._value:
+            value = self._value
+            put = PutLeased("put", self._key, value, self._lease_id)
+            self._store.perform(put).addCallback(self._take_put, value)
+
+    def _take_put(self, reply: StoreReply, value: bytes) -> None:
+        if isinstance(reply, Swapped):
+            self._written = value
+        self._take(reply)
+
+    def _take(self, reply: StoreReply) -> None:
+        match reply:
+            case LeaseGranted(lease_id=lease_id) if lease_id != self._lease_id:
+                self._lease_id, self._written = lease_id, b""
+                self._put()
+            case LeaseEnded():
+                self._lease_id = None
+                self._renew()
+            case _:
+                return  # the next beat tries again whatever failed
--- /dev/null
+++ b/savoryarch_standins/forwarded/_server.py
@@ -0,0 +1,230 @@
+"""Serves the targets of one process over HTTP."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from importlib.resources import files
+from typing import Any
+
+from twisted.internet.protocol import Factory, Protocol
+from xxhash import xxh3_64_intdigest
+
+from savoryarch.charts import parse_chart
+from savoryarch.front import ParsedRequest, RequestParser
+from savoryarch.model.forwarding import FrontLimits
+from savoryarch.utils import Clock
+from savoryarch_standins.forwarded._bodies import make_digest, target_body
+from savoryarch_standins.forwarded._model import Arrival, TargetPlan, TargetState, TargetSwitches
+from savoryarch_standins.forwarded._registrar import Registrar
+from savoryarch_standins.forwarded._wire import TargetReply, read_question, write_reply
+
+ACTIONS = frozenset({"bear", "close_port", "drop", "open_port", "register"})
+CHART = parse_chart(
+    files("savoryarch_standins.forwarded")
+    .joinpath("forwarded_target.ini")
+    .read_text(encoding="utf-8"),
+    "forwarded_target.ini",
+    ACTIONS,
+)
+QUEUE_RATIO = 2  # requests per slot beyond which a target refuses
+_DRAWS = 1 << 32
+_MS_PER_S = 1000.0
+_LIMITS = FrontLimits()
+
+
+class TargetServer(Factory):
+    """One target.
+
+    Parameters
+    ----------
+    plan : TargetPlan
+        What it is.
+    address : str
+        ``HOST:PORT`` that it registers, which may be that of a proxy.
+    reactor, clock, wall_clock
+        Of the process.
+    registrar : Registrar
+        Its registration.
+    record : callable
+        Takes each `Arrival`.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        plan: TargetPlan,
+        address: str,
+        reactor: Any,
+        clock: Clock,
+        wall_clock: Clock,
+        registrar: Registrar,
+        record: Callable[[Arrival], None],
+    ) -> None:
+        self.state = TargetState(plan, CHART.initial, int(wall_clock.now_ms()))
+        self.switches = TargetSwitches()
+        self.reactor = reactor
+        self._address = address
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._registrar = registrar
+        self._record = record
+        self._connections: set[TargetConnection] = set()
+        self._port: Any = None
+        self._number = 0
+
+    def listen(self, host: str) -> int:
+        """Listen, register and return the port."""
+        self._host = host
+        self._open_port()
+        self._register()
+        self._registrar.start()
+        return self._number
+
+    def drive(self, event: str) -> None:
+        """Step the chart ``forwarded_target``."""
+        transition = CHART.step(self.state.life, event)
+        self.state = replace(self.state, life=transition.next_state)
+        for action in transition.actions:
+            getattr(self, f"_{action}")()
+
+    def buildProtocol(self, addr: Any) -> Protocol | None:  # noqa: N802
+        """Accept a connection within the limit; called by Twisted."""
+        if len(self._connections) >= self.state.plan.connection_limit:
+            self.state = replace(self.state, most_connections=len(self._connections) + 1)
+            return None
+        connection = TargetConnection(self)
+        self._connections.add(connection)
+        most = max(self.state.most_connections, len(self._connections))
+        self.state = replace(self.state, most_connections=most)
+        return connection
+
+    def forget(self, connection: "TargetConnection") -> None:
+        """Drop a closed connection."""
+        self._connections.discard(connection)
+
+    def take(self, connection: "TargetConnection", parsed: ParsedRequest) -> None:
+        """Run one request, or refuse it."""
+        question = read_question(parsed)
+        plan, switches = self.state.plan, self.switches
+        if question.expected_name not in ("", plan.name):
+            connection.answer(write_reply(TargetReply(421, question.request_id)))
+            return
+        busy = self.state.running >= QUEUE_RATIO * plan.slots
+        refused = busy or self._draw() < switches.refuse_share
+        self._record(
+            Arrival(
+                at_ms=self._clock.now_ms(),
+                target=plan.name,
+                service=plan.service,
+                request_id=question.request_id,
+                ran=not refused,
+                draining=self.state.life == "draining",
+            )
+        )
+        if refused:
+            connection.answer(write_reply(TargetReply(503, question.request_id, not_run=True)))
+            return
+        if switches.crash_word and switches.crash_word.encode() in parsed.path:
+            self.drive("crash")
+            self.reactor.callLater(1.0, self.drive, "restart")
+            return
+        self.state = replace(self.state, running=self.state.running + 1)
+        self.reactor.callLater(
+            switches.work_ms / _MS_PER_S, self._reply, connection, question.request_id
+        )
+
+    def _reply(self, connection: "TargetConnection", request_id: str) -> None:
+        self.state = replace(self.state, running=self.state.running - 1)
+        switches, service = self.switches, self.state.plan.service
+        body = target_body(service, request_id)
+        reply = TargetReply(200, request_id, body, make_digest(service, request_id, body))
+        if self._draw() < switches.silent_share:
+            return
+        if self._draw() < switches.fail_share:
+            reply = replace(reply, status=500)
+        if self._draw() < switches.garble_share:
+            reply = replace(reply, request_id=f"not-{request_id}")
+        written = write_reply(reply)
+        if self._draw() < switches.double_share:
+            written *= 2
+        if self._draw() < switches.cut_share:
+            connection.answer(written[:-7])
+            connection.close()
+            return
+        connection.answer(written)
+        if switches.drop_idle_ms:
+            self.reactor.callLater(
+                switches.drop_idle_ms / _MS_PER_S, connection.close_if_idle_since, connection.served
+            )
+
+    def _draw(self) -> float:
+        drawn = self.state.drawn
+        self.state = replace(self.state, drawn=drawn + 1)
+        return xxh3_64_intdigest(f"{self.state.plan.name}/{drawn}".encode()) % _DRAWS / _DRAWS
+
+    def _open_port(self) -> None:
+        self._port = self.reactor.listenTCP(self._number, self, interface=self._host)
+        self._number = self._port.getHost().port
+
+    def _close_port(self) -> None:
+        self._port.stopListening()
+        self._registrar.publish({})
+
+    def _drop(self) -> None:
+        for connection in list(self._connections):
+            connection.close()
+
+    def _bear(self) -> None:
+        self.state = replace(self.state, born_ms=int(self._wall_clock.now_ms()))
+
+    def _register(self) -> None:
+        state = self.state
+        self._registrar.publish(
+            {
+                "service": state.plan.service,
+                "address": self._address,
+                "zone": "zone-a",
+                "slots": state.plan.slots,
+                "state": "draining" if state.life == "draining" else "ready",
+                "born": state.born_ms,
+            }
+        )
+
+
+class TargetConnection(Protocol):
+    """One connection of an entry instance."""
+
+    transport: Any = None
+
+    def __init__(self, server: TargetServer) -> None:
+        self.served = 0
+        self._server = server
+        self._parser = RequestParser(_LIMITS)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes; called by Twisted."""
+        parsed = self._parser.feed(data)
+        if isinstance(parsed, ParsedRequest):
+            self.served += 1
+            self._server.take(self, parsed)
+        elif parsed is not None:
+            self.close()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Forget the connection; called by Twisted."""
+        self._server.forget(self)
+
+    def answer(self, written: bytes) -> None:
+        """Write a reply unless the connection is gone."""
+        if self.transport is not None and self.transport.connected:
+            self.transport.write(written)
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def close_if_idle_since(self, served: int) -> None:
+        """Close the connection if no request came after that many."""
+        if self.served == served:
+            self.close()
--- /dev/null
+++ b/savoryarch_standins/forwarded/_wire.py
@@ -0,0 +1,48 @@
+"""The platform's protocol from the targets' side."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from savoryarch.front import ParsedRequest
+from savoryarch.platform import DIGEST, EXPECTED_TARGET, NOT_RUN, REQUEST_ID
+
+IDLE_TIMEOUT_S = 5  # as stated on each reply
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """What a target reads of a request."""
+
+    request_id: str
+    expected_name: str
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReply:
+    """One reply of a target."""
+
+    status: int
+    request_id: str
+    body: bytes = b""
+    digest: str = ""
+    not_run: bool = False
+
+
+def read_question(parsed: ParsedRequest) -> Question:
+    """Read the headers that a target looks at."""
+    return Question(parsed.header(REQUEST_ID), parsed.header(EXPECTED_TARGET))
+
+
+def write_reply(reply: TargetReply) -> bytes:
+    """Return the bytes of a reply."""
+    lines = [
+        f"HTTP/1.1 {reply.status} {HTTPStatus(reply.status).phrase}",
+        f"{REQUEST_ID}: {reply.request_id}",
+        f"content-length: {len(reply.body)}",
+        f"keep-alive: timeout={IDLE_TIMEOUT_S}",
+    ]
+    if reply.digest:
+        lines.append(f"{DIGEST}: {reply.digest}")
+    if reply.not_run:
+        lines += [f"{NOT_RUN}: 1", "retry-after: 0.05"]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + reply.body
--- a/savoryarch_standins/store/_calls.py
+++ b/savoryarch_standins/store/_calls.py
@@ -51,6 +51,8 @@
     """Carry out one call: its effect, its reply, and what the switches do to both."""
     state = _count(lapse_leases(state, now_ms), type(call).__name__)
     switches = state.switches
+    if switches.forgets:
+        state = replace(state, history=Map(), compacted_revision=state.revision)
     if switches.outage:
         return Called(_count(state, "unavailable"), Unavailable())
     if switches.lose_calls > 0:
--- a/savoryarch_standins/store/_state.py
+++ b/savoryarch_standins/store/_state.py
@@ -25,6 +25,8 @@
         The next so many writes take effect and their replies are lost.
     lose_calls : int
         The next so many calls are lost before they take effect.
+    forgets : bool
+        The history before each call is dropped, so that watches have to list anew.
     writes_per_s, reads_per_s : float
         Rate limits; each waiting watch takes one read per second.
     """
@@ -34,6 +36,7 @@
     reply_delay_ms: float = 0.0
     lose_replies: int = 0
     lose_calls: int = 0
+    forgets: bool = False
     writes_per_s: float = 400.0
     reads_per_s: float = 2000.0
 
--- a/tests/check_shape.py
+++ b/tests/check_shape.py
@@ -9,7 +9,14 @@
 from savoryarch.utils import Finding, Place, format_findings
 
 ROOT = Path(__file__).parent.parent
-PACKAGES = ("savoryarch", "savoryarch_standins", "savoryarch_bench", "benchmarks", "examples")
+PACKAGES = (
+    "savoryarch",
+    "savoryarch_standins",
+    "savoryarch_bench",
+    "savoryarch_soak",
+    "benchmarks",
+    "examples",
+)
 DECISIONS = {
     "admission",
     "model",
@@ -42,7 +49,13 @@
     "twisted",
 }
 THREADS = {"threading", "multiprocessing", "concurrent", "asyncio", "subprocess"}
-MAY_START_PROCESSES = {"savoryarch_standins", "savoryarch_bench", "benchmarks", "tests"}
+MAY_START_PROCESSES = {
+    "savoryarch_standins",
+    "savoryarch_bench",
+    "savoryarch_soak",
+    "benchmarks",
+    "tests",
+}
 NEEDS_UNIT = re.compile(
     r"(^|_)(timeout|delay|deadline|interval|duration|latency|age|ttl|period|size|lag|wait|retention)$"
 )
