--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -87,6 +87,7 @@
         self._exit_code = NO_DECISION_EXIT_CODE
         self._clock = make_system_clock()
         self._stopped_at_ms = float("inf")
+        self._interrupted = False
         self._life = make_machine(load_chart("process", ACTIONS), self._perform)
         self._ports: dict[str, Any] = {}
         self._site: Any = None
@@ -101,8 +102,8 @@
 
     def run(self) -> int:
         """Run until the shutdown is over; returns the exit code."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._ask_to_stop)
+        signal.signal(signal.SIGTERM, self._ask_to_stop)
+        signal.signal(signal.SIGINT, self._ask_from_keyboard)
         signal.signal(signal.SIGHUP, self._ask_to_reload)
         reactor.callWhenRunning(self._life.listening)
         reactor.run(installSignalHandlers=False)
@@ -177,10 +178,15 @@
     def _ask_to_reload(self, *_: object) -> None:
         reactor.callFromThread(self._settings_file.reload_if_changed)
 
-    def _stop(self) -> None:
+    def _ask_from_keyboard(self, *_: object) -> None:
+        # A repeated SIGTERM changes nothing, but whoever types an interrupt twice means it.
+        urgent, self._interrupted = self._interrupted, True
+        reactor.callFromThread(self._stop, urgent)
+
+    def _stop(self, urgent: bool = False) -> None:
         self._stopped_at_ms = min(self._stopped_at_ms, self._clock.now_ms())
         self._front.close_connections()
-        self._instance.feed(StopAsked())
+        self._instance.feed(StopAsked(urgent))
 
     def _exit(self, exit_code: int) -> None:
         self._exit_code = exit_code
--- a/savoryarch/model/_instances.py
+++ b/savoryarch/model/_instances.py
@@ -71,7 +71,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
-    """The platform or the operator asked this instance to stop (a signal)."""
+    """The platform or the operator asked this instance to stop (a signal).
+
+    Parameters
+    ----------
+    urgent : bool
+        Whether an operator asked again, at the keyboard; the platform may repeat its signal, which
+        must cut nothing.
+    """
+
+    urgent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/shutdown/_decide.py
+++ b/savoryarch/shutdown/_decide.py
@@ -106,8 +106,8 @@
             return Decided(state, (SetReadiness(True),))
         case SettingsReloaded(sections={"shutdown": ShutdownSettings() as settings}):
             return Decided(replace(state, settings=settings))
-        case StopAsked():
-            return _step(state, "stop_asked", now_ms)
+        case StopAsked(urgent=urgent):
+            return _step(state, "stop_urged" if urgent else "stop_asked", now_ms)
         case TimerFired(timer_id) if timer_id == LAG_TIMER:
             return _step(state, "lag_passed", now_ms)
         case TimerFired(timer_id) if timer_id == DEADLINE_TIMER:
--- a/savoryarch_soak/_checks.py
+++ b/savoryarch_soak/_checks.py
@@ -239,7 +239,7 @@
 def check_stops(journal: Journal) -> Iterable[str]:
     """Check that a planned stop cuts no request and ends in time."""
     for ended in journal.exits:
-        if ended.asked_at_ms is None or ended.killed:
+        if ended.asked_at_ms is None or ended.killed or not ended.was_ready:
             continue
         took_ms = ended.at_ms - ended.asked_at_ms
         if ended.code != 0 or took_ms > GRACE_MS:
--- a/savoryarch_soak/_instances.py
+++ b/savoryarch_soak/_instances.py
@@ -169,6 +169,7 @@
             self._process.send_signal(number)
 
     def _exited(self, code: int | None) -> None:
+        was_ready = self._process is not None and self._process.ready.called
         self._process = None
         self._note_exit(
             Exited(
@@ -178,6 +179,7 @@
                 code,
                 self._asked_at_ms,
                 self._killed,
+                was_ready,
             )
         )
 
--- a/savoryarch_soak/_journal.py
+++ b/savoryarch_soak/_journal.py
@@ -80,6 +80,8 @@
         When SIGTERM was sent, if it was.
     killed : bool
         Whether SIGKILL or SIGSTOP was sent.
+    was_ready : bool
+        Whether it had said that it was ready; before that a signal may simply end it.
     """
 
     instance: int
@@ -88,6 +90,7 @@
     code: int | None
     asked_at_ms: float | None
     killed: bool
+    was_ready: bool = True
 
 
 @dataclass(frozen=True, slots=True)
