--- a/savoryarch_soak/_clients.py
+++ b/savoryarch_soak/_clients.py
@@ -58,6 +58,13 @@
             lambda failure: self.end(replace(exchange, failure="refused")),
         )
 
+    def dawdle(self) -> None:
+        """Open a connection, send half of a request on it, and hold it as long as it lasts."""
+        address = self._address
+        endpoint = TCP4ClientEndpoint(self.reactor, address.host, address.port, CONNECT_TIMEOUT_S)
+        # An instance that is not there has nothing to be held up.
+        connectProtocol(endpoint, Dawdler()).addErrback(lambda failure: None)
+
     def end(self, exchange: Exchange) -> None:
         """Record an exchange that has ended now."""
         self._record(replace(exchange, ended_at_ms=self.clock.now_ms()))
@@ -128,6 +135,16 @@
         return exchange
 
 
+class Dawdler(Protocol):
+    """Sends half of a request."""
+
+    transport: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send it; called by Twisted."""
+        self.transport.write(f"POST /order/half HTTP/1.1\r\nhost: {HOST}\r\n".encode())
+
+
 def encode_request(exchange: Exchange) -> bytes:
     """Return the bytes of a request."""
     name = exchange.request_id
--- a/savoryarch_soak/_world.py
+++ b/savoryarch_soak/_world.py
@@ -193,6 +193,8 @@
         self._journal = replace(
             self._journal, began_at_ms=began_at_ms, ended_at_ms=ended_at_ms, exchanges=()
         )
+        for instance in self._instances:
+            instance.clients.dawdle()
         for fault in self._plan.faults:
             self._later(fault.at_ms, self._inject, fault)
         sending = LoopingCall(self._send_next)
@@ -234,6 +236,7 @@
             case KillInstance(instance=number):
                 self._instances[number].kill()
             case StopInstance(instance=number):
+                self._instances[number].clients.dawdle()
                 self._instances[number].stop()
             case FreezeInstance(instance=number):
                 self._instances[number].freeze()
@@ -319,6 +322,7 @@
             )
 
     def _end_instance(self, instance: SoakInstance) -> "Deferred[Any]":
+        instance.clients.dawdle()
         instance.stop()
         return instance.ended()
 
--- a/savoryarch_standins/forwarded/__init__.py
+++ b/savoryarch_standins/forwarded/__init__.py
@@ -8,6 +8,7 @@
 from savoryarch_standins.forwarded._bodies import (
     Part,
     expected_records,
+    make_digest,
     read_digest,
     target_body,
 )
@@ -19,6 +20,7 @@
     "TargetPlan",
     "TargetSwitches",
     "expected_records",
+    "make_digest",
     "read_digest",
     "target_body",
 ]
