--- a/savoryarch_soak/tests/test_checks.py
+++ b/savoryarch_soak/tests/test_checks.py
@@ -160,6 +160,6 @@
     assert plan != draw_plan(seed + 1, 30.0, 4, 60.0)
     assert plan.faults
     for fault in plan.faults:
-        assert 1500.0 <= fault.at_ms
+        assert fault.at_ms >= 1500.0
         assert fault.at_ms + fault.for_ms <= 25_000.0
         assert 0 <= getattr(fault, "link", 0) < link_count(4)
