--- a/savoryarch/discovery/_pace.py
+++ b/savoryarch/discovery/_pace.py
@@ -54,11 +54,23 @@
         state = replace(state, told_revision=state.revision, doubted_revision=0)
     else:
         state = replace(state, doubted_revision=told)
-    if not news or state.live_instances <= POLLERS:
+    if not news or state.live_instances <= POLLERS or not _is_urgent(before, state):
         return Decided(state)
     return Decided(state, (TellPeers(StoreMoved(state.revision)),))
 
 
+def _is_urgent(before: DiscoveryState, state: DiscoveryState) -> bool:
+    """Return whether others would go on with what holds no more; new targets can wait."""
+    if state.table is not before.table or state.lapsed != before.lapsed:
+        return True
+    if state.targets is before.targets:
+        return False
+    return any(
+        state.targets[key].draining != target.draining if key in state.targets else True
+        for key, target in before.targets.items()
+    )
+
+
 def hear_peers(state: DiscoveryState, event: PeersChanged | PeerSaid, now_ms: float) -> Step:
     """Take what concerns the pace from peers."""
     match event:
