Log an exception that reaches the loop as one line

Found while a soak hung: such an exception went to standard error as a traceback of many lines, and no line of the structured log told of it.

--- a/savoryarch/entry/_log.py
+++ b/savoryarch/entry/_log.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from logbook import Logger, StreamHandler, lookup_level
+from twisted.logger import LogEvent, globalLogPublisher
 
 from savoryarch.entry._log_writer import LogWriter
 
@@ -20,6 +21,8 @@
     writer = LogWriter(STREAMS[stream], reactor)
     _writers.append(writer)
     StreamHandler(writer, level=lookup_level(level.upper()), format_string=text).push_application()
+    observer: Any = log_failure
+    globalLogPublisher.addObserver(observer)
 
 
 def log_event(name: str, fields: Iterable[tuple[str, str]] = ()) -> None:
@@ -39,6 +42,20 @@
     _LOGGER.error(format_event(name, fields))
 
 
+def log_failure(event: LogEvent) -> None:
+    """Log an exception that reached Twisted's loop, which goes on after it."""
+    failure = event.get("log_failure")
+    if failure is None:
+        return
+    frames = failure.getTracebackObject()
+    while frames is not None and frames.tb_next is not None:
+        frames = frames.tb_next
+    place = f"{frames.tb_frame.f_code.co_filename}:{frames.tb_lineno}" if frames else "unknown"
+    kind = type(failure.value).__name__
+    fields = (("kind", kind), ("detail", failure.getErrorMessage()), ("place", place))
+    log_error("unhandled_error", fields)
+
+
 def dropped_lines() -> int:
     """Return the number of lines that were dropped since the start."""
     return sum(writer.dropped for writer in _writers)
--- a/savoryarch/entry/tests/test_log.py
+++ b/savoryarch/entry/tests/test_log.py
@@ -4,8 +4,11 @@
 import os
 
 import pytest
+from logbook import TestHandler as Recorder
 from twisted.internet.task import Clock
+from twisted.python.failure import Failure
 
+from savoryarch.entry._log import log_failure
 from savoryarch.entry._log_writer import BUFFER_BYTES, ROUTINE_LINES_PER_S, LogWriter
 
 LINE = "x" * 1023 + "\n"
@@ -74,3 +77,20 @@
     writer = LogWriter(descriptor, Clock())
     writer.write(LINE)
     assert writer.dropped == 1
+
+
+@pytest.mark.parametrize(
+    ("error", "detail"),
+    [(KeyError("gone"), "'gone'"), (ValueError("two\nlines"), '"two\\nlines"')],
+)
+def test_an_exception_that_reaches_the_loop_is_one_line(error, detail):
+    with Recorder() as handler:
+        try:
+            raise error
+        except Exception:
+            log_failure({"log_failure": Failure()})
+        log_failure({"log_format": "not a failure"})
+    (record,) = handler.records
+    start = f"event=unhandled_error kind={type(error).__name__} detail={detail} place="
+    assert record.message.startswith(start)
+    assert "test_log.py:" in record.message
--- a/savoryarch_soak/_process.py
+++ b/savoryarch_soak/_process.py
@@ -35,7 +35,7 @@
     def __init__(self, reactor: Any, arguments: list[str], log_path: Path) -> None:
         self.ready: Deferred[dict[str, str]] = Deferred()
         self.exited: Deferred[int | None] = Deferred()
-        self._log = log_path.open("ab")
+        self._log = log_path.open("ab", buffering=0)
         self._head = b""
         self._process = reactor.spawnProcess(
             self, sys.executable, [sys.executable, *arguments], env=dict(os.environ)
