--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
-from twisted.internet.defer import DeferredList
+from twisted.internet.defer import DeferredList, TimeoutError
+from twisted.python.failure import Failure
 
 from savoryarch.charts import load_chart, make_machine
 from savoryarch.entry._log import log_event, start_log
@@ -204,10 +205,16 @@
                 since_stop_ms = self._clock.now_ms() - self._stopped_at_ms
                 drain_ms = drain_time_ms(self._settings.shutdown, since_stop_ms)
                 drained = DeferredList(draining).addTimeout(drain_ms / _MS_PER_S, reactor)
+                drained.addErrback(self._log_left)
                 drained.addBoth(lambda _: reactor.callLater(0, self._life.drained))
             case "stop_loop":
                 reactor.stop()
 
+    def _log_left(self, failure: Failure) -> None:
+        """Tell which connections the process does not wait for any longer."""
+        failure.trap(TimeoutError)
+        log_event("connections_left", (("front", self._front.open_states()),))
+
     def _announce(self) -> None:
         tier = self._instance.state.settings
         self._instance.feed(Started(tier.instance_id, tier.availability_zone, tier.incarnation))
--- a/savoryarch/forwarding/_forward_chart.py
+++ b/savoryarch/forwarding/_forward_chart.py
@@ -147,6 +147,7 @@
         ("pieces", f"{forward.answered}/{len(forward.pieces)}"),
         ("required", str(forward.required)),
         ("missing", _missing(forward)),
+        ("targets", _targets(forward)),
         ("may_have_run", "yes" if forward.may_have_run else "no"),
         ("retry_after_ms", _retry_after(outcome)),
         ("table_version", str(table.version) if table else "none"),
@@ -179,6 +180,13 @@
     return ",".join(names[:MAX_LOGGED_PIECES])
 
 
+def _targets(forward: Forward) -> str:
+    """Return the targets that a request of one piece may have reached."""
+    if len(forward.services) != 1:
+        return ""
+    return ",".join(sorted(forward.pieces[forward.services[0]].tried))
+
+
 def _describe(turn: Turn, outcome: ForwardOutcome) -> tuple[str, str]:
     match outcome:
         case Refused(reason=reason):
--- a/savoryarch/forwarding/tests/test_forwarding.py
+++ b/savoryarch/forwarding/tests/test_forwarding.py
@@ -105,6 +105,26 @@
     assert summary(world.outcome()) == outcome
 
 
+@pytest.mark.parametrize(
+    ("path", "replies", "targets"),
+    [
+        ("/order/1", [returned()], 1),
+        ("/read/1", [returned()], 1),
+        ("/read/1", [LOST, returned()], 2),
+        ("/read/1", [NOT_SENT, returned()], 1),
+    ],
+)
+def test_the_line_of_a_request_names_the_targets_that_it_reached(path, replies, targets):
+    world = World()
+    world.ask(path)
+    for reply in replies:
+        world.end(world.sends()[-1], reply)
+    (line,) = [item for item in world.effects if getattr(item, "name", "") == "request_ended"]
+    named = dict(line.fields)["targets"].split(",")
+    assert len(named) == targets
+    assert world.sends()[-1].target_id in named
+
+
 @pytest.mark.parametrize(("path", "most"), [("/read/1", 2), ("/find/1", 2)])
 def test_a_request_reaches_no_more_targets_than_its_route_allows(path, most):
     world = World()
--- a/savoryarch/front/_connection.py
+++ b/savoryarch/front/_connection.py
@@ -147,6 +147,11 @@
             self._step("lost")
         self._owner.forget(self)
 
+    @property
+    def state(self) -> str:
+        """State in the chart ``client_connection``."""
+        return self._state
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun on it."""
         if self._state == "idle":
--- a/savoryarch/front/_front.py
+++ b/savoryarch/front/_front.py
@@ -1,5 +1,6 @@
 """The address at which clients' requests are taken and forwarded."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -99,6 +100,11 @@
         self._connections.discard(connection)
         self._check_drained()
 
+    def open_states(self) -> str:
+        """Return how many connections are open in each state of their chart."""
+        counts = Counter(connection.state for connection in self._connections)
+        return ",".join(f"{state}:{count}" for state, count in sorted(counts.items()))
+
     def _check_drained(self) -> None:
         drained = self._drained
         if drained is not None and not self._connections and not drained.called:
