Bring targets back that one instance had in doubt, or that stay after all

Cause 1: a connection that broke off under a request puts its target in doubt until a probe, and a probe by connecting was left out while another connection was open, which may be silent for good and proves nothing. Cause 2: a target that registers as ready again after it was draining stayed out of use for good; only an answered probe of the health endpoint, which this protocol does not ask, brought it back. Ruled out: leaked places in flight (target_in_flight=0 on its last lines), the quarantine. A draining target is probed no more than a quiet one.

--- a/savoryarch/discovery/_entries.py
+++ b/savoryarch/discovery/_entries.py
@@ -144,11 +144,7 @@
     if changed or state.table is not before.table:
         effects.append(Inform(DeclarationsInForce(declare(state))))
     if changed:
-        effects += [
-            Inform(TargetSigned(item.target.target_id, Sign.LISTED_LEAVING))
-            for key, item in in_order(state.targets)
-            if item.draining and before.targets.get(key) != item
-        ]
+        effects += _signs(before, state)
     if state.instances != before.instances:
         effects.append(Inform(InstancesListed(list_instances(state))))
     if not state.known and state.table is not None and state.targets:
@@ -157,6 +153,20 @@
     return Taken(state, tuple(effects))
 
 
+def _signs(before: DiscoveryState, state: DiscoveryState) -> list[object]:
+    """Return what the registrations say of targets that leave, or stay after all."""
+    signs: list[object] = []
+    for key, item in in_order(state.targets):
+        old = before.targets.get(key)
+        if old == item:
+            continue
+        if item.draining:
+            signs.append(Inform(TargetSigned(item.target.target_id, Sign.LISTED_LEAVING)))
+        elif old is not None and old.draining:
+            signs.append(Inform(TargetSigned(item.target.target_id, Sign.REGISTERED)))
+    return signs
+
+
 def declare(state: DiscoveryState) -> Declarations:
     """Return the services that the registered targets make up."""
     groups: dict[str, list[RegisteredTarget]] = {}
--- a/savoryarch/discovery/tests/test_discovery.py
+++ b/savoryarch/discovery/tests/test_discovery.py
@@ -165,6 +165,14 @@
     assert world.informed(TargetSigned) == [TargetSigned("t/a", Sign.LISTED_LEAVING)]
 
 
+def test_a_target_that_stays_after_all_is_told():
+    world = World()
+    world.start(table=b"1", t_a=b"draining")
+    world.change(("t/a", b"live"))
+    signs = [event.sign for event in world.informed(TargetSigned)]
+    assert signs == [Sign.LISTED_LEAVING, Sign.REGISTERED]
+
+
 @pytest.mark.parametrize(
     ("versions", "taken"), [([b"2", b"1"], [1, 2]), ([b"3", b"x", b"4"], [1, 3, 4]), ([b"1"], [1])]
 )
--- a/savoryarch/entry/_target_pool.py
+++ b/savoryarch/entry/_target_pool.py
@@ -55,6 +55,7 @@
         self.dialect = dialect
         self._limit = DEFAULT_CONNECTION_LIMIT
         self._spare = 0
+        self._probing = False  # whether a connection is wanted to see whether the target is there
         self._open: set[TargetConnection] = set()
         self._connecting: set[TargetConnection] = set()
         self._idle: list[TargetConnection] = []
@@ -104,8 +105,13 @@
         """Ask the target's health endpoint, or just connect; ends with one `TargetSigned`."""
         if not self.dialect.probes_by_connecting:
             self._submit(ProbeErrand(self))
-        elif not self._open:
-            self._connect_if_allowed()
+        elif not self._connecting:
+            # An open connection proves nothing: it may be silent for good.
+            self._probing = True
+            if self._idle and len(self._open) >= self._limit:
+                self._retire(self._idle[0])
+            else:
+                self._connect_if_allowed()
 
     def keep_open(self, count: int) -> None:
         """Keep at least `count` connections open, within the limit."""
@@ -173,7 +179,7 @@
             self.feed(TargetSigned(self.target.target_id, sign))
         if sign is Sign.CONNECTION_REFUSED:
             self._fail_waiting("the target refused a connection")
-        elif self._waiting:
+        elif self._waiting or self._probing:
             self._connect_if_allowed()
 
     def idle_until_ms(self, reply: HttpReply) -> float:
@@ -240,7 +246,7 @@
 
     def _end_pause(self) -> None:
         self._resume = None
-        if self._waiting or not self._open:
+        if self._waiting or self._probing or not self._open:
             self._connect_if_allowed()
 
     def _connect_if_allowed(self) -> None:
@@ -252,6 +258,7 @@
             self._fail_waiting("no connection to the target is allowed")
 
     def _connect(self) -> None:
+        self._probing = False
         connection = TargetConnection(self, self.reactor)
         self._open.add(connection)
         self._connecting.add(connection)
--- a/savoryarch/forwarding/_decide.py
+++ b/savoryarch/forwarding/_decide.py
@@ -19,6 +19,7 @@
     NewWorkEnded,
     Observe,
     PeerSaid,
+    ProbeTarget,
     SetTimer,
     SettingsReloaded,
     TimerFired,
@@ -29,7 +30,7 @@
     TableInForce,
 )
 from savoryarch.quarantine import hear_peer, note_attempt_ended
-from savoryarch.targets import TargetsState, end_attempt, has_room
+from savoryarch.targets import DOUBTED, TargetsState, end_attempt, has_room
 
 MAX_LOOKS = 8  # at the queue of a service per event
 
@@ -108,7 +109,11 @@
     noted = note_attempt_ended(state.quarantine, ended, now_ms)
     state = replace(state, attempts=state.attempts.delete(ended.attempt_id), quarantine=noted.state)
     observed = Observe("attempt_ms", latency_ms, (("service", attempt.service),))
-    decided = DecidedOnTargets(state, targets, (*noted.effects, observed))
+    effects = (*noted.effects, observed)
+    record = targets.records.get(ended.target_id)
+    if record is not None and record.life == DOUBTED:
+        effects = (*effects, ProbeTarget(ended.target_id))
+    decided = DecidedOnTargets(state, targets, effects)
     forward = state.forwards.get(attempt.request_id)
     if forward is not None and ended.attempt_id in forward.pieces[attempt.service].attempt_ids:
         decided = _then(
--- a/savoryarch/forwarding/tests/test_forwarding.py
+++ b/savoryarch/forwarding/tests/test_forwarding.py
@@ -11,6 +11,7 @@
     Misdirected,
     NewWorkEnded,
     NotSent,
+    ProbeTarget,
     RefusalReason,
     Refused,
     Shed,
@@ -105,6 +106,18 @@
     assert summary(world.outcome()) == outcome
 
 
+@pytest.mark.parametrize(
+    ("reply", "probed"), [(LOST, True), (NOT_SENT, False), (TimedOut(), False), (returned(), False)]
+)
+def test_a_target_that_broke_a_connection_off_is_probed_at_once(reply, probed):
+    world = World()
+    world.ask("/read/1")
+    (send,) = world.take_sends()
+    effects = world.end(send, reply)
+    probes = [item.target_id for item in effects if isinstance(item, ProbeTarget)]
+    assert probes == ([send.target_id] if probed else [])
+
+
 @pytest.mark.parametrize(
     ("path", "replies", "targets"),
     [
--- a/savoryarch/model/_targets.py
+++ b/savoryarch/model/_targets.py
@@ -239,6 +239,7 @@
 
     LISTED_LIVE = "listed_live"
     LISTED_LEAVING = "listed_leaving"
+    REGISTERED = "registered"
     UNLISTED = "unlisted"
     CONNECTED = "connected"
     CONNECTION_REFUSED = "connection_refused"
--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -3,6 +3,7 @@
 from savoryarch.targets._attempts import begin_attempt, deny_snapshot, end_attempt, note_overdue
 from savoryarch.targets._choose import can_serve, choose_target, has_room, trial_target
 from savoryarch.targets._decide import decide_targets
+from savoryarch.targets._life import DOUBTED
 from savoryarch.targets._limits import connection_share, in_flight_limit, is_suspect
 from savoryarch.targets._settings import (
     ChoicePolicy,
@@ -19,6 +20,7 @@
 )
 
 __all__ = [
+    "DOUBTED",
     "ChoicePolicy",
     "LeastExpectedLatency",
     "RoundRobin",
--- a/savoryarch/targets/_decide.py
+++ b/savoryarch/targets/_decide.py
@@ -151,6 +151,8 @@
             lived = apply_sign(state, signed.target_id, "proved", now_ms)
         case Sign.PROBE_DRAINING | Sign.LISTED_LEAVING:
             lived = apply_sign(state, signed.target_id, "draining", now_ms)
+        case Sign.REGISTERED:
+            lived = apply_sign(state, signed.target_id, "registered", now_ms)
         case Sign.CONNECTION_REFUSED:
             lived = apply_sign(state, signed.target_id, "lost", now_ms)
         case Sign.CONNECTION_CLOSED:
@@ -234,12 +236,12 @@
 
 
 def _probe(state: TargetsState, now_ms: float) -> Decided[TargetsState]:
-    """Probe targets that get no work, and those in doubt more often."""
+    """Probe targets that get no work, and more often those in doubt, which may be back."""
     settings = state.settings
     effects: list[object] = []
     for target_id, record in in_order(state.records):
         quiet_ms = now_ms - max(state.uses[target_id].replied_at_ms, record.heard_at_ms)
-        if record.life != LIVE or quiet_ms >= settings.probe_interval_ms:
+        if record.life not in (LIVE, DRAINING) or quiet_ms >= settings.probe_interval_ms:
             effects.append(ProbeTarget(target_id))
     effects.append(SetTimer(PROBE_TIMER, now_ms + settings.probe_retry_ms))
     return Decided(state, tuple(effects))
--- a/savoryarch_soak/_world.py
+++ b/savoryarch_soak/_world.py
@@ -208,7 +208,8 @@
         collecting.stop()
 
     def _send_next(self) -> None:
-        self._send(self._sent % len(self._instances), ROUTES[self._sent % len(ROUTES)])
+        turn, number = divmod(self._sent, len(self._instances))
+        self._send(number, ROUTES[turn % len(ROUTES)])
 
     def _send(self, number: int, route: str) -> None:
         self._sent += 1
