--- a/savoryarch_standins/forwarded/__main__.py
+++ b/savoryarch_standins/forwarded/__main__.py
@@ -74,7 +74,7 @@
         plan = TargetPlan(name, service, connection_limit=connection_limit)
         server = TargetServer(
             plan,
-            f"{host}:{port}",
+            int(port),
             reactor,
             clock,
             wall_clock,
--- a/savoryarch_standins/forwarded/_server.py
+++ b/savoryarch_standins/forwarded/_server.py
@@ -38,8 +38,8 @@
     ----------
     plan : TargetPlan
         What it is.
-    address : str
-        ``HOST:PORT`` that it registers, which may be that of a proxy.
+    registered_port : int
+        Port that it registers, which may be that of a proxy; 0 for its own.
     reactor, clock, wall_clock
         Of the process.
     registrar : Registrar
@@ -53,7 +53,7 @@
     def __init__(
         self,
         plan: TargetPlan,
-        address: str,
+        registered_port: int,
         reactor: Any,
         clock: Clock,
         wall_clock: Clock,
@@ -63,7 +63,7 @@
         self.state = TargetState(plan, CHART.initial, int(wall_clock.now_ms()))
         self.switches = TargetSwitches()
         self.reactor = reactor
-        self._address = address
+        self._registered_port = registered_port
         self._clock = clock
         self._wall_clock = wall_clock
         self._registrar = registrar
@@ -182,7 +182,7 @@
         self._registrar.publish(
             {
                 "service": state.plan.service,
-                "address": self._address,
+                "address": f"{self._host}:{self._registered_port or self._number}",
                 "zone": "zone-a",
                 "slots": state.plan.slots,
                 "state": "draining" if state.life == "draining" else "ready",
