--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -5,12 +5,14 @@
 from savoryarch.targets._decide import decide_targets
 from savoryarch.targets._life import DOUBTED
 from savoryarch.targets._limits import connection_share, in_flight_limit, is_suspect
+from savoryarch.targets._messages import TargetSlow
 from savoryarch.targets._settings import (
     ChoicePolicy,
     LeastExpectedLatency,
     RoundRobin,
     TargetsSettings,
 )
+from savoryarch.targets._slow import is_slow_reply
 from savoryarch.targets._state import (
     ServiceRecord,
     TargetRecord,
@@ -26,6 +28,7 @@
     "RoundRobin",
     "ServiceRecord",
     "TargetRecord",
+    "TargetSlow",
     "TargetUse",
     "TargetsSettings",
     "TargetsState",
@@ -38,6 +41,7 @@
     "end_attempt",
     "has_room",
     "in_flight_limit",
+    "is_slow_reply",
     "is_suspect",
     "make_targets_state",
     "note_overdue",
