Soak: judge recovery after a planned stop may be over

Seed 20 (25 s, 4 instances) failed once: 117 of 120 served in the last 2 s, the other 3 refused at instance 2, whose planned stop was asked for at 18.7 s while it was frozen, took 3.8 s of its 4 s (a client held half a request) and which started again at 22.4 s. Nothing took longer than it may: the time without faults at the end was shorter than the sum. It is 8 s now instead of 6.

--- a/savoryarch_soak/_checks.py
+++ b/savoryarch_soak/_checks.py
@@ -17,7 +17,6 @@
     StopInstance,
 )
 from savoryarch_soak._journal import Exchange, Journal, TableWritten
-from savoryarch_soak._plan import RECOVERY_MS
 from savoryarch_standins.forwarded import Arrival, expected_records, read_digest, target_body
 
 APPLY_MS = 3000.0  # until a configuration is in force, after the store's acknowledgement
@@ -33,6 +32,7 @@
 TOP_RECORDS = 10
 MINIMUM_COVERAGE = 0.8
 RECOVERED_SHARE = 0.99
+RECOVERED_MS = 2000.0  # at the end of a run, in which that share must be served
 _REFUSED = (503, 429, 408, 421)
 _OK = 200
 
@@ -263,7 +263,7 @@
 
 def check_recovery(journal: Journal) -> Iterable[str]:
     """Check that nearly everything is served some time after the last trouble."""
-    since_ms = journal.ended_at_ms - RECOVERY_MS / 3.0
+    since_ms = journal.ended_at_ms - RECOVERED_MS
     sent = [item for item in journal.exchanges if since_ms <= item.sent_at_ms < journal.ended_at_ms]
     served = sum(1 for item in sent if item.status == _OK)
     if sent:
--- a/savoryarch_soak/_plan.py
+++ b/savoryarch_soak/_plan.py
@@ -24,7 +24,9 @@
 SHARD_SETS = (tuple(f"old-{n}" for n in range(4)), tuple(f"new-{n}" for n in range(6)))
 REPLICAS = 3  # one process of targets each
 WARM_UP_MS = 1500.0  # without faults, so that there is something to break
-RECOVERY_MS = 6000.0  # at the end, in which nothing is broken any more
+# At the end nothing is broken any more: a planned stop may take its 4 s, and a start beside
+# everything else on the machine 2 s, before the last 2 s are judged.
+RECOVERY_MS = 8000.0
 MEAN_GAP_MS = 450.0  # between faults, so that about three are under way at a time
 MEAN_FAULT_MS = 1200.0
 MAX_FAULT_MS = 3000.0
--- a/savoryarch_soak/tests/test_checks.py
+++ b/savoryarch_soak/tests/test_checks.py
@@ -161,5 +161,5 @@
     assert plan.faults
     for fault in plan.faults:
         assert fault.at_ms >= 1500.0
-        assert fault.at_ms + fault.for_ms <= 25_000.0
+        assert fault.at_ms + fault.for_ms <= 23_000.0
         assert 0 <= getattr(fault, "link", 0) < link_count(4)
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -30,7 +30,7 @@
 
 @pytest.mark.process
 @pytest.mark.timeout(150)
-@pytest.mark.parametrize(("seed", "seconds", "instances"), [(4, 12, 2)])
+@pytest.mark.parametrize(("seed", "seconds", "instances"), [(4, 14, 2)])
 def test_a_short_soak_keeps_every_promise_and_its_logs_explain_each_request(
     tmp_path, seed, seconds, instances
 ):
