--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -4,7 +4,12 @@
 from savoryarch.targets._choose import can_serve, choose_target, has_room, trial_target
 from savoryarch.targets._decide import decide_targets
 from savoryarch.targets._life import DOUBTED
-from savoryarch.targets._limits import connection_share, in_flight_limit, is_suspect
+from savoryarch.targets._limits import (
+    connection_share,
+    in_flight_limit,
+    is_suspect,
+    ready_connections,
+)
 from savoryarch.targets._messages import TargetSlow
 from savoryarch.targets._settings import (
     ChoicePolicy,
@@ -45,5 +50,6 @@
     "is_suspect",
     "make_targets_state",
     "note_overdue",
+    "ready_connections",
     "trial_target",
 ]
--- a/savoryarch/targets/_decide.py
+++ b/savoryarch/targets/_decide.py
@@ -24,7 +24,7 @@
     TimerFired,
 )
 from savoryarch.targets._life import DRAINING, LIVE, Lived, apply_sign, may_serve, put_record
-from savoryarch.targets._limits import connection_share, first_limit
+from savoryarch.targets._limits import connection_share, first_limit, ready_connections
 from savoryarch.targets._messages import TargetSlow
 from savoryarch.targets._slow import hear_slow
 from savoryarch.targets._state import ServiceRecord, TargetRecord, TargetsState, TargetUse
@@ -132,7 +132,7 @@
 
 def _connections(state: TargetsState, record: TargetRecord) -> tuple[object, ...]:
     target_id = record.target.target_id
-    ready = min(state.settings.ready_connections, record.max_connections)
+    ready = ready_connections(record.max_connections, state.settings)
     return (
         LimitConnections(target_id, record.max_connections),
         OpenConnections(target_id, ready),
@@ -184,7 +184,7 @@
     if record.life == DRAINING:
         return (OpenConnections(target_id, 0),)
     if record.life == LIVE:
-        ready = min(state.settings.ready_connections, record.max_connections)
+        ready = ready_connections(record.max_connections, state.settings)
         return (OpenConnections(target_id, ready),)
     return ()
 
--- a/savoryarch/targets/_limits.py
+++ b/savoryarch/targets/_limits.py
@@ -28,6 +28,15 @@
     return connection_limit // max(expected, most_instances)
 
 
+def ready_connections(share: int, settings: TargetsSettings) -> int:
+    """Return the connections that are kept open ahead of need.
+
+    At most half of this instance's share: many instances that all use up their shares ahead leave
+    a target no connection for those that need one, and most of what they open closes unused.
+    """
+    return min(settings.ready_connections, share // 2)
+
+
 def first_limit(slots: int, live_instances: int) -> float:
     """Return the in-flight limit before anything is learned: the equal share, but at least one."""
     return max(MIN_LIMIT, float(slots // live_instances))
--- a/savoryarch/targets/tests/test_limits.py
+++ b/savoryarch/targets/tests/test_limits.py
@@ -26,6 +26,7 @@
     end_attempt,
     in_flight_limit,
     note_overdue,
+    ready_connections,
 )
 from savoryarch.targets.tests.test_signs import (
     ANSWERED,
@@ -84,6 +85,15 @@
     assert share * max(entry_instances + surge_instances, listed) <= connection_limit
 
 
+@pytest.mark.parametrize(
+    ("share", "wanted", "ready"),
+    [(0, 2, 0), (1, 2, 0), (2, 2, 1), (3, 2, 1), (4, 2, 2), (22, 2, 2), (22, 0, 0), (5, 9, 2)],
+)
+def test_at_most_half_of_a_share_is_opened_ahead(share, wanted, ready):
+    settings = TargetsSettings("zone-a", ready_connections=wanted)
+    assert ready_connections(share, settings) == ready
+
+
 @pytest.mark.parametrize(
     ("counts", "limited"),
     [([4], []), ([5], []), ([10], [5]), ([10, 4], [5]), ([4, 10, 25], [5, 2]), ([51], [0])],
