Soak: a version may be in force from when it is written

The log of the instance has version 4 in force 0.2 s before; the store's replies to its writes were being lost, so that its acknowledgement came 2 s later. Not a fault of the product.

--- a/savoryarch_soak/_checks.py
+++ b/savoryarch_soak/_checks.py
@@ -145,7 +145,7 @@
                 for shards, tables in versions.items()
                 if shards.issuperset(services)
                 for table in tables
-                if table.at_ms <= exchange.ended_at_ms + CROSSING_MS
+                if table.sent_at_ms <= exchange.ended_at_ms
             ),
             default=0,
         )
--- a/savoryarch_soak/_journal.py
+++ b/savoryarch_soak/_journal.py
@@ -95,11 +95,24 @@
 
 @dataclass(frozen=True, slots=True)
 class TableWritten:
-    """A version of the configuration that the store acknowledged."""
+    """A version of the configuration that the store acknowledged.
+
+    Parameters
+    ----------
+    at_ms : float
+        When the acknowledgement came; the reply of the write itself may have been lost.
+    version : int
+        The version.
+    shards : tuple of str
+        The shards of its searches, by which answers tell it.
+    sent_at_ms : float
+        When it was first sent; it may come into force from then on.
+    """
 
     at_ms: float
     version: int
     shards: tuple[str, ...]
+    sent_at_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch_soak/_world.py
+++ b/savoryarch_soak/_world.py
@@ -152,6 +152,7 @@
         self._version += 1
         version, shards = self._version, SHARD_SETS[self._version % 2]
         value = make_table(version, shards, CLIENT_HOST)
+        sent_at_ms = self._clock.now_ms()
         while True:
             read = yield self._store_client.perform(ReadStoreKey("read", CONFIGURATION_KEY))
             match read:
@@ -171,7 +172,7 @@
                 break
             if not isinstance(written, SwapConflict):
                 yield self._sleep(PROBE_INTERVAL_S)
-        row = TableWritten(self._clock.now_ms(), version, shards)
+        row = TableWritten(self._clock.now_ms(), version, shards, sent_at_ms)
         self._journal = replace(self._journal, tables=(*self._journal.tables, row))
 
     @inlineCallbacks
