--- a/savoryarch_bench/demo.py
+++ b/savoryarch_bench/demo.py
@@ -27,6 +27,7 @@
     SearchCall,
     send_open_loop,
 )
+from savoryarch_bench._forwarded_demo import demonstrate_forwarding
 from savoryarch_standins.harness import Cluster, ClusterPlan, ManagedProcess
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -91,6 +92,7 @@
         warm_up, results = _run_calls(cluster, plan)
         counts = _target_counts(cluster)
         problems = _check_orders(counts, warm_up + results) + _stop_entries(cluster)
+        problems += demonstrate_forwarding()
         _report(plan, warm_up, results, counts, problems)
         if problems or _bad(warm_up + results):
             print(cluster.logs(), file=sys.stderr)
--- /dev/null
+++ b/savoryarch_soak/_small.py
@@ -0,0 +1,114 @@
+"""A small deployment of forwarded routes, started and asked in turn: benchmarks, demonstration."""
+
+from dataclasses import dataclass
+from http.client import HTTPConnection
+from pathlib import Path
+from threading import Event
+
+import requests
+
+from savoryarch.model import SwapKey
+from savoryarch.platform import (
+    CONFIGURATION_KEY,
+    DEADLINE_MS,
+    PART_DIGESTS,
+    REQUEST_ID,
+    encode_store_call,
+)
+from savoryarch_soak._instances import free_address, write_settings
+from savoryarch_soak._tables import make_table
+from savoryarch_standins.harness import Address, ManagedProcess, start_process
+
+SHARDS = tuple(f"shard-{number}" for number in range(10))
+SERVICES = ("shop", "till", *SHARDS)
+REPLICAS = 3
+HOST = "small.example"
+READY_TRIES = 200
+RETRY_S = 0.05
+HTTP_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a client got; `digests` are those of a search's parts."""
+
+    status: int
+    body: bytes
+    digests: tuple[str, ...]
+
+
+class SmallDeployment:
+    """The store, the targets and, one at a time, an entry instance.
+
+    Use as a context manager; every process has ended afterwards, also after a failure.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._started: list[ManagedProcess] = []
+
+    def __enter__(self) -> "SmallDeployment":
+        try:
+            store = self._start("store", ["-m", "savoryarch_standins.store"])
+            self._store = store.address()
+            url = f"http://{self._store}"
+            for replica in range(REPLICAS):
+                words = ",".join(f"{name}-{replica}:{name}:0" for name in SERVICES)
+                arguments = ["-m", "savoryarch_standins.forwarded", "--store", url]
+                self._start(f"targets-{replica}", [*arguments, "--targets", words])
+            write = SwapKey("table", CONFIGURATION_KEY, make_table(1, SHARDS, HOST), 0)
+            call = encode_store_call(write, "")
+            reply = requests.post(url + call.path, data=call.body, timeout=HTTP_TIMEOUT_S)
+            reply.raise_for_status()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        for process in reversed(self._started):
+            process.kill()
+
+    def start_entry(self, level: str = "info") -> tuple[ManagedProcess, HTTPConnection]:
+        """Start an entry instance; returns it and a connection once it serves."""
+        front = free_address()
+        settings = write_settings(0, 1, front, self._store)
+        path = self._folder / f"entry-{level}.ini"
+        path.write_text(settings.replace("[log]", f"[log]\nlevel = {level}"), encoding="utf-8")
+        arguments = ["-m", "savoryarch", "serve", "--settings", str(path)]
+        entry = self._start(f"entry-{level}", arguments)
+        return entry, _connect(front)
+
+    def _start(self, name: str, arguments: list[str]) -> ManagedProcess:
+        process = start_process(name, arguments, self._folder)
+        self._started.append(process)
+        return process
+
+
+def ask(connection: HTTPConnection, route: str, name: str, method: str = "GET") -> Answer:
+    """Send a request and read its answer."""
+    headers = {"host": HOST, REQUEST_ID: name, DEADLINE_MS: "2000"}
+    connection.request(method, f"/{route}/{name}", headers=headers)
+    reply = connection.getresponse()
+    body = reply.read()
+    digests = reply.getheader(PART_DIGESTS, "")
+    return Answer(reply.status, body, tuple(digests.split(", ")) if digests else ())
+
+
+def _connect(front: Address) -> HTTPConnection:
+    """Ask until the instance has routes and targets."""
+    connection = HTTPConnection(front.host, front.port, timeout=HTTP_TIMEOUT_S)
+    pause = Event()
+    for number in range(READY_TRIES):
+        try:
+            if ask(connection, "find", f"ready-{number}").status == 200:
+                return connection
+        except OSError:
+            connection.close()
+        pause.wait(RETRY_S)
+    raise TimeoutError("the instance did not serve in time")
