End an instance whose front cannot listen, and give a soak each address once

Two addresses of the run were the same: the front could not listen, the exception was logged and the instance went on, ready and without a front, while another instance's readiness page answered there.

--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -8,10 +8,11 @@
 
 from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import DeferredList, TimeoutError
+from twisted.internet.error import CannotListenError
 from twisted.python.failure import Failure
 
 from savoryarch.charts import load_chart, make_machine
-from savoryarch.entry._log import log_event, start_log
+from savoryarch.entry._log import log_error, log_event, start_log
 from savoryarch.entry._metrics import Metrics
 from savoryarch.entry._no_platform import UnopenedPeers
 from savoryarch.entry._reload import SettingsFile
@@ -121,7 +122,14 @@
         if "front" in self._ports:
             return
         address = self._settings.front.address
-        self._listen("front", address, self._front)
+        try:
+            self._listen("front", address, self._front)
+        except CannotListenError as error:
+            # Whoever starts this process again may find the address free; without it nobody is
+            # served, and readiness would say otherwise.
+            log_error("cannot_listen", (("address", address), ("detail", str(error))))
+            reactor.stop()
+            return
         log_event("front_open", (("address", address),))
         reactor.callLater(OPEN_REST_DELAY_S, self._open_rest)
 
--- a/savoryarch_soak/_instances.py
+++ b/savoryarch_soak/_instances.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 from collections.abc import Callable
+from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
 
@@ -184,15 +185,18 @@
         )
 
 
-def write_settings(number: int, instances: int, front: Address, store: Address) -> str:
-    """Return the settings of an instance."""
+def write_settings(
+    number: int, instances: int, addresses: tuple[Address, ...], store: Address
+) -> str:
+    """Return the settings of an instance, with its addresses for clients, readiness and peers."""
+    front, ready, peers = addresses
     return _SETTINGS.format(
         number=number,
         zone="ab"[number % 2],
         host=HOST,
         front=front,
-        ready=free_address(),
-        peers=free_address().port,
+        ready=ready,
+        peers=peers.port,
         store=store,
         instances=instances,
         ratio=BUDGET_RATIO,
@@ -202,8 +206,10 @@
     )
 
 
-def free_address() -> Address:
-    """Return an address that the system gave and that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return Address(HOST, probe.getsockname()[1])
+def free_addresses(count: int) -> tuple[Address, ...]:
+    """Return addresses that the system gave and that nothing listens on now, each of them once."""
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((HOST, 0))
+        return tuple(Address(HOST, probe.getsockname()[1]) for probe in probes)
--- a/savoryarch_soak/_small.py
+++ b/savoryarch_soak/_small.py
@@ -15,7 +15,7 @@
     REQUEST_ID,
     encode_store_call,
 )
-from savoryarch_soak._instances import free_address, write_settings
+from savoryarch_soak._instances import free_addresses, write_settings
 from savoryarch_soak._tables import make_table
 from savoryarch_standins.harness import Address, ManagedProcess, start_process
 
@@ -76,13 +76,13 @@
 
     def start_entry(self, level: str = "info") -> tuple[ManagedProcess, HTTPConnection]:
         """Start an entry instance; returns it and a connection once it serves."""
-        front = free_address()
-        settings = write_settings(0, 1, front, self._store)
+        addresses = free_addresses(3)
+        settings = write_settings(0, 1, addresses, self._store)
         path = self._folder / f"entry-{level}.ini"
         path.write_text(settings.replace("[log]", f"[log]\nlevel = {level}"), encoding="utf-8")
         arguments = ["-m", "savoryarch", "serve", "--settings", str(path)]
         entry = self._start(f"entry-{level}", arguments)
-        return entry, _connect(front)
+        return entry, _connect(addresses[0])
 
     def _start(self, name: str, arguments: list[str]) -> ManagedProcess:
         process = start_process(name, arguments, self._folder)
--- a/savoryarch_soak/_world.py
+++ b/savoryarch_soak/_world.py
@@ -30,7 +30,7 @@
     ReloadInstance,
     StopInstance,
 )
-from savoryarch_soak._instances import SoakInstance, free_address, write_settings
+from savoryarch_soak._instances import SoakInstance, free_addresses, write_settings
 from savoryarch_soak._journal import Exchange, Exited, Injected, Journal, TableWritten
 from savoryarch_soak._links import Link
 from savoryarch_soak._plan import REPLICAS, SHARD_SETS, SoakPlan, services
@@ -42,6 +42,7 @@
 
 ROUTES = ("read", "find", "order", "find")
 START_TIMEOUT_S = 20.0
+ADDRESSES_PER_INSTANCE = 3
 SETTLE_MS = 4000.0  # after the last request, for what is still under way
 PROBE_INTERVAL_S = 0.1
 COLLECT_INTERVAL_S = 0.5  # arrivals are read often, so that few are lost with a killed process
@@ -128,16 +129,17 @@
 
     def _make_instances(self) -> None:
         count = self._plan.instances
+        free = free_addresses(ADDRESSES_PER_INSTANCE * count)
         for number in range(count):
             link = self._links[number]
             link.upstream = self._store
-            front = free_address()
-            settings = write_settings(number, count, front, link.address)
+            addresses = free[number::count]
+            settings = write_settings(number, count, addresses, link.address)
             self._instances.append(
                 SoakInstance(
                     number,
                     settings,
-                    front,
+                    addresses[0],
                     self._folder,
                     self._reactor,
                     self._clock,
