--- a/savoryarch/forwarding/_decide.py
+++ b/savoryarch/forwarding/_decide.py
@@ -21,7 +21,6 @@
     ProbeTarget,
     SetTimer,
     SettingsReloaded,
-    TellPeers,
     TimerFired,
 )
 from savoryarch.model.forwarding import (
@@ -30,14 +29,7 @@
     TableInForce,
 )
 from savoryarch.quarantine import hear_peer, note_attempt_ended
-from savoryarch.targets import (
-    DOUBTED,
-    TargetSlow,
-    TargetsState,
-    end_attempt,
-    has_room,
-    is_slow_reply,
-)
+from savoryarch.targets import DOUBTED, TargetsState, end_attempt, has_room
 from savoryarch.utils import replace
 
 MAX_LOOKS = 8  # at the queue of a service per event
@@ -113,14 +105,11 @@
 ) -> DecidedForward:
     attempt = state.attempts[ended.attempt_id]
     latency_ms = now_ms - attempt.begun_at_ms
-    slow = is_slow_reply(targets, ended, latency_ms)
     targets = end_attempt(targets, ended, latency_ms, now_ms)
     noted = note_attempt_ended(state.quarantine, ended, now_ms)
     state = replace(state, attempts=state.attempts.delete(ended.attempt_id), quarantine=noted.state)
     observed = Observe("attempt_ms", latency_ms, (("service", attempt.service),))
     effects = (*noted.effects, observed)
-    if slow:
-        effects = (*effects, TellPeers(TargetSlow(ended.target_id)))
     record = targets.records.get(ended.target_id)
     if record is not None and record.life == DOUBTED:
         effects = (*effects, ProbeTarget(ended.target_id))
--- a/savoryarch/forwarding/tests/test_forwarding.py
+++ b/savoryarch/forwarding/tests/test_forwarding.py
@@ -11,17 +11,14 @@
     Misdirected,
     NewWorkEnded,
     NotSent,
-    PeerSaid,
     ProbeTarget,
     RefusalReason,
     Refused,
     Shed,
     Sign,
-    TellPeers,
     TimedOut,
 )
 from savoryarch.model.forwarding import PartsAnswered, TargetAnswered, Unanswered
-from savoryarch.targets import TargetSlow
 
 LOST = ConnectionLost("reset")
 NOT_SENT = NotSent("refused")
@@ -121,58 +118,6 @@
     assert probes == ([send.target_id] if probed else [])
 
 
-@pytest.mark.parametrize(
-    ("known", "took_ms", "reply", "told"),
-    [
-        (30, 10.0, returned(), False),
-        (30, 28.0, returned(), False),
-        (30, 34.0, returned(), True),
-        (30, 34.0, Cancelled(), True),
-        (30, 34.0, TimedOut(), True),
-        (30, 34.0, LOST, False),
-        (30, 34.0, Shed(), False),
-        (10, 34.0, returned(), False),
-    ],
-)
-def test_peers_are_told_of_a_slow_target(known, took_ms, reply, told):
-    """Replies take 10 ms as a rule."""
-    world = World(slots=40).with_settings(extra_ratio=0.0, extra_requests=0.0)
-    world.advance(2500.0)
-    for number in range(known):
-        world.ask(f"/order/{number}")
-        (send,) = world.take_sends()
-        world.now_ms += 10.0
-        world.end(send, returned())
-    world.ask("/order/last")
-    (send,) = world.take_sends()
-    world.now_ms += took_ms
-    effects = world.end(send, reply)
-    messages = [item.message for item in effects if isinstance(item, TellPeers)]
-    messages = [message for message in messages if isinstance(message, TargetSlow)]
-    assert messages == ([TargetSlow(send.target_id)] if told else [])
-
-
-@pytest.mark.parametrize(("told", "avoided"), [(0, False), (1, False), (2, True), (3, True)])
-def test_orders_avoid_a_target_that_peers_found_slow(told, avoided):
-    world = World(slots=40)
-    world.advance(2500.0)
-    for number in range(30):
-        world.ask(f"/order/{number}")
-        (send,) = world.take_sends()
-        world.now_ms += 10.0
-        world.end(send, returned())
-    for _ in range(told):
-        world.feed(PeerSaid("entry-2", TargetSlow("shop-1")))
-    used = set()
-    for number in range(9):
-        world.ask(f"/order/after-{number}")
-        (send,) = world.take_sends()
-        used.add(send.target_id)
-        world.now_ms += 10.0
-        world.end(send, returned())
-    assert ("shop-1" not in used) is avoided
-
-
 @pytest.mark.parametrize(
     ("path", "replies", "targets"),
     [
--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -10,14 +10,12 @@
     is_suspect,
     ready_connections,
 )
-from savoryarch.targets._messages import TargetSlow
 from savoryarch.targets._settings import (
     ChoicePolicy,
     LeastExpectedLatency,
     RoundRobin,
     TargetsSettings,
 )
-from savoryarch.targets._slow import is_slow_reply
 from savoryarch.targets._state import (
     ServiceRecord,
     TargetRecord,
@@ -33,7 +31,6 @@
     "RoundRobin",
     "ServiceRecord",
     "TargetRecord",
-    "TargetSlow",
     "TargetUse",
     "TargetsSettings",
     "TargetsState",
@@ -46,7 +43,6 @@
     "end_attempt",
     "has_room",
     "in_flight_limit",
-    "is_slow_reply",
     "is_suspect",
     "make_targets_state",
     "note_overdue",
--- a/savoryarch/targets/_decide.py
+++ b/savoryarch/targets/_decide.py
@@ -12,7 +12,6 @@
     ListedInstance,
     ListedState,
     OpenConnections,
-    PeerSaid,
     PeersChanged,
     ProbeTarget,
     Service,
@@ -25,8 +24,6 @@
 )
 from savoryarch.targets._life import DRAINING, LIVE, Lived, apply_sign, may_serve, put_record
 from savoryarch.targets._limits import connection_share, first_limit, ready_connections
-from savoryarch.targets._messages import TargetSlow
-from savoryarch.targets._slow import hear_slow
 from savoryarch.targets._state import ServiceRecord, TargetRecord, TargetsState, TargetUse
 from savoryarch.utils import in_order, replace
 
@@ -54,8 +51,6 @@
             return _list(state, instances, now_ms)
         case PeersChanged(live=live):
             return Decided(replace(state, live_instances=len(live) + 1))
-        case PeerSaid(message=TargetSlow() as message):
-            return Decided(hear_slow(state, message, now_ms))
         case TimerFired(timer_id=timer_id) if timer_id == PROBE_TIMER:
             return _probe(state, now_ms)
         case _:
--- a/savoryarch/tier/_messages.py
+++ b/savoryarch/tier/_messages.py
@@ -2,12 +2,10 @@
 
 from savoryarch.discovery import StoreMoved
 from savoryarch.quarantine import CrashReported, QuarantineDeclared, ReplyReported
-from savoryarch.targets import TargetSlow
 
 SUBJECT_MESSAGES: tuple[type, ...] = (
     CrashReported,
     QuarantineDeclared,
     ReplyReported,
     StoreMoved,
-    TargetSlow,
 )
