--- a/savoryarch_soak/_instances.py
+++ b/savoryarch_soak/_instances.py
@@ -1,5 +1,6 @@
 """Entry instances under test: their settings, lives and clients."""
 
+import os
 import signal
 import socket
 from collections.abc import Callable
@@ -16,7 +17,8 @@
 from savoryarch_soak._process import SoakProcess
 from savoryarch_standins.harness import Address
 
-HOST = "127.0.0.1"
+# A loopback address of this run: a port that is free now is not taken by another run meanwhile.
+HOST = f"127.{os.getpid() // 256 % 200 + 10}.{os.getpid() % 256}.1"
 _SETTINGS = """\
 [instance]
 instance_id = entry-{number}
