--- a/tests/guards.py
+++ b/tests/guards.py
@@ -17,6 +17,7 @@
 from savoryarch.admission.tests.guards import GUARDS as ADMISSION_GUARDS
 from savoryarch.configuration.tests.guards import GUARDS as CONFIGURATION_GUARDS
 from savoryarch.configuration.tests.guards import run_proof as run_configuration_proof
+from savoryarch.forwarding.tests.guards import GUARDS as FORWARDING_GUARDS
 from savoryarch.membership.tests.guards import GUARDS as MEMBERSHIP_GUARDS
 from savoryarch.model import PartReturned
 from savoryarch.orders.tests.guards import GUARDS as ORDERS_GUARDS
@@ -56,7 +57,7 @@
     return False
 
 
-def _whole_limit(connection_limit: int, settings: Any) -> int:
+def _whole_limit(connection_limit: int, settings: Any, most_instances: int) -> int:
     return connection_limit
 
 
@@ -125,6 +126,7 @@
     ),
 )
 
+OTHER_GUARDS = MEMBERSHIP_GUARDS + ADMISSION_GUARDS + QUARANTINE_GUARDS + FORWARDING_GUARDS
 SUBJECTS = (
     ("savoryarch.configuration", CONFIGURATION_GUARDS, run_configuration_proof),
     ("savoryarch.orders", ORDERS_GUARDS, run_orders_proof),
@@ -162,7 +164,7 @@
     """Print one row per guard and proof; return 1 if a proof catches nothing."""
     rows = [
         (guard.promise, guard.name, proof, catches(guard, proof))
-        for guard in GUARDS + MEMBERSHIP_GUARDS + ADMISSION_GUARDS + QUARANTINE_GUARDS
+        for guard in GUARDS + OTHER_GUARDS
         for proof in guard.proofs
     ]
     rows += [
