--- a/savoryarch/discovery/_pace.py
+++ b/savoryarch/discovery/_pace.py
@@ -21,9 +21,7 @@
 POLL_TIMER = "discovery/poll"
 POLLERS = 4  # instances whose looks add up to one per interval; as many as the small sites have
 MIN_SPREAD, MAX_SPREAD = 0.75, 1.25  # of an interval, so that instances do not look together
-TOLD_SPREAD_MS = (
-    1000.0  # looks that news ask for are spread over this time; news often come in rows
-)
+TOLD_SPREAD_MS = 1000.0  # over which the looks that news ask for are spread; they come in rows
 _DRAWS = 1 << 32
 
 Step = Decided[DiscoveryState]
--- a/savoryarch/forwarding/_admit.py
+++ b/savoryarch/forwarding/_admit.py
@@ -22,7 +22,7 @@
 from savoryarch.utils import replace
 
 PRIORITY_STEP = 0.15  # of the overload ratio, per rank below the most urgent
-MIN_PRIORITY_RATIO = 0.4
+MIN_PRIORITY_RATIO = 0.4  # of the overload ratio; the least urgent routes are not starved
 _NO_ROUTE = ForwardedRoute("", "", "/", ToService(""), True, 1000.0, 1000.0, 1, 0)
 _ROUNDING = 1e-9  # keeps 0.9 of 10 shards at 9
 
--- a/savoryarch/forwarding/_forward_chart.py
+++ b/savoryarch/forwarding/_forward_chart.py
@@ -37,8 +37,8 @@
     ),
 )
 MAX_RETURN_SHARE = 1.0 / 3.0  # of the time left; clients do not wait longer before a retry
-MAX_RETURN_MS = 1000.0
-MAX_LOGGED_PIECES = 4
+MAX_RETURN_MS = 1000.0  # a burst or the loss of an instance is mostly over by then
+MAX_LOGGED_PIECES = 4  # the pieces of a search mostly fail for one reason
 MIN_RETURN_RATIO = 0.3  # earliest return, relative to the latest
 _DRAWS = 1 << 32
 
--- a/savoryarch/forwarding/_merge.py
+++ b/savoryarch/forwarding/_merge.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-RECORD_BYTES = 16
+RECORD_BYTES = 16  # of one record in the body of a part, by the protocol of the targets
 
 
 def merge_records(bodies: Iterable[bytes], top_records: int) -> bytes:
