--- a/savoryarch/shutdown/_decide.py
+++ b/savoryarch/shutdown/_decide.py
@@ -30,6 +30,7 @@
 CUT_EXIT_CODE = 1
 MAX_LOGGED_REQUESTS = 20
 MAX_DRAIN_MS = 5000.0  # for callers that read their last answer slowly
+DRAIN_SHARE = 0.5  # of the time left; the end of a process takes its time on a busy machine
 MIN_DRAIN_MS = 100.0  # to write the last answers out, within the kill margin
 
 
@@ -89,7 +90,7 @@
         Time since the stop was asked for.
     """
     left_ms = settings.shutdown_deadline_ms - settings.kill_margin_ms - since_stop_ms
-    return max(MIN_DRAIN_MS, min(MAX_DRAIN_MS, left_ms))
+    return max(MIN_DRAIN_MS, min(MAX_DRAIN_MS, DRAIN_SHARE * left_ms))
 
 
 def make_shutdown_state(settings: ShutdownSettings) -> ShutdownState:
