--- a/savoryarch_soak/_world.py
+++ b/savoryarch_soak/_world.py
@@ -33,7 +33,7 @@
 from savoryarch_soak._instances import SoakInstance, free_addresses, write_settings
 from savoryarch_soak._journal import Exchange, Exited, Injected, Journal, TableWritten
 from savoryarch_soak._links import Link
-from savoryarch_soak._plan import REPLICAS, SHARD_SETS, SoakPlan, services
+from savoryarch_soak._plan import REPLICAS, SHARD_SETS, SoakPlan, link_count, services
 from savoryarch_soak._process import SoakProcess
 from savoryarch_soak._tables import make_table
 from savoryarch_standins.forwarded import Arrival, TargetSwitches
@@ -74,7 +74,7 @@
         self._targets: dict[int, SoakProcess] = {}
         self._controls: dict[int, Address] = {}
         self._collected: dict[int, int] = {}
-        self._links = [Link(reactor) for _ in range(plan.instances + REPLICAS * len(services()))]
+        self._links = [Link(reactor) for _ in range(link_count(plan.instances))]
         self._instances: list[SoakInstance] = []
         self._version = 0
         self._sent = 0
