--- a/savoryarch_soak/_instances.py
+++ b/savoryarch_soak/_instances.py
@@ -17,6 +17,7 @@
 from savoryarch_soak._process import SoakProcess
 from savoryarch_standins.harness import Address
 
+RESTART_S = 0.2  # until the platform starts a process again that has ended
 # A loopback address of this run: a port that is free now is not taken by another run meanwhile.
 HOST = f"127.{os.getpid() // 256 % 200 + 10}.{os.getpid() % 256}.1"
 _SETTINGS = """\
@@ -112,6 +113,7 @@
         self._process: SoakProcess | None = None
         self._asked_at_ms: float | None = None
         self._killed = False
+        self._hung_up_early = False
         self._rewritten = 0
         self._path.write_text(settings, encoding="utf-8")
 
@@ -120,7 +122,7 @@
         if self._process is not None:
             return
         self.life += 1
-        self._asked_at_ms, self._killed = None, False
+        self._asked_at_ms, self._killed, self._hung_up_early = None, False, False
         arguments = ["-m", "savoryarch", "serve", "--settings", str(self._path)]
         self._process = SoakProcess(self._reactor, arguments, self._log_path)
         self._process.exited.addCallback(self._exited)
@@ -165,6 +167,9 @@
             "warm_up_ms = 200", f"warm_up_ms = {200 + self._rewritten % 2}"
         )
         self._path.write_text(changed, encoding="utf-8")
+        if self._process is not None and not self._process.ready.called:
+            # Before its first line runs, no program can keep this signal from ending it.
+            self._hung_up_early = True
         self._signal(signal.SIGHUP)
 
     def _signal(self, number: signal.Signals) -> None:
@@ -181,10 +186,12 @@
                 self._clock.now_ms(),
                 code,
                 self._asked_at_ms,
-                self._killed,
+                self._killed or self._hung_up_early,
                 was_ready,
             )
         )
+        if self._hung_up_early and self._asked_at_ms is None and not self._killed:
+            self._reactor.callLater(RESTART_S, self.start)
 
 
 def write_settings(
