Print what a known-red test shows when it fails

Ruled out: finding it by repeating it; 4 runs of its file beside 12 busy processes and 2 of all process tests beside 10 passed. Before: the entry alone. After, on a made-up case: the assertion and what the test printed.

--- a/conftest.py
+++ b/conftest.py
@@ -32,3 +32,7 @@
     known = read_known_red(KNOWN_RED.read_text(encoding="utf-8"))
     for test, seen in known.items():
         terminalreporter.write_line(f"known red: {test} | {seen}")
+    for report in terminalreporter.stats.get("xfailed", []):
+        # Passed over, and yet what was seen is needed to find the cause.
+        terminalreporter.write_line(f"failed as known: {report.nodeid}")
+        terminalreporter.write_line(f"{report.longreprtext}\n{report.capstdout}")
