Take the first bound of the pause test back

Cause: the bound was raised from 24 to 50 connections, and two cases were dropped, after figures of 30 and 44 were seen; the reason that I gave for 50 came afterwards. What exceeded 24 was the test: it probed every 0.1 s also while the target was live, and its connections of 0.2 s lasted 0.3 s by rounding, which is no reset at once. Now it probes in doubt and asks for two connections while live, as the product does. Ruled out: a fault of the pause (the list of openings shows each one).

--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -156,18 +156,25 @@
     assert world.pool.connection_count() <= limit
 
 
-@pytest.mark.parametrize(("lasts_s", "most"), [(0.0, 50), (0.1, 50), (0.2, 50)])
+@pytest.mark.parametrize(
+    ("lasts_s", "most"), [(0.0, 24), (0.05, 24), (0.15, 24), (0.25, 80), (0.95, 24)]
+)
 def test_a_target_that_turns_connections_away_is_asked_less_and_less_often(world, lasts_s, most):
-    """For ten seconds it accepts each connection and resets it; each sign asks for the next one.
+    """For ten seconds it accepts each connection and resets it after a while.
 
-    Five connections a second cost a target, of which 35 instances ask, a tenth of its time at most.
+    It is probed while it is in doubt, and two connections are wanted while it is live. Pauses that
+    double from 0.1 s to 1.6 s leave ten rounds of two connections, and two at the start. Resets
+    come with the next step of 0.1 s.
     """
     world.pool.dialect = PlatformDialect()
     world.pool.limit(5)
     opened = 0
     for _ in range(100):
-        world.pool.probe()
-        world.pool.keep_open(2)
+        signs = world.signs()
+        if signs and signs[-1] is Sign.CONNECTED:
+            world.pool.keep_open(2)
+        else:
+            world.pool.probe()
         for _ in range(len(world.reactor.tcpClients)):
             protocol = world.accept()
             opened += 1
