--- a/savoryarch/codec/__init__.py
+++ b/savoryarch/codec/__init__.py
@@ -9,9 +9,13 @@
 from savoryarch.codec._dialect import Dialect, JsonDialect
 from savoryarch.codec._messages import MessageCodec, make_message_codec
 from savoryarch.codec._outer_names import OUTER_NAMES, OuterNames
-from savoryarch.codec._target_http import (
+from savoryarch.codec._reply_parser import (
+    MAX_HEAD_BYTES,
+    MAX_REPLY_BYTES,
     HttpReply,
     HttpReplyParser,
+)
+from savoryarch.codec._target_http import (
     decode_attempt_reply,
     decode_probe_reply,
     encode_attempt,
@@ -20,6 +24,8 @@
 )
 
 __all__ = [
+    "MAX_HEAD_BYTES",
+    "MAX_REPLY_BYTES",
     "OUTER_NAMES",
     "Dialect",
     "EncodedReply",
--- a/savoryarch/codec/_dialect.py
+++ b/savoryarch/codec/_dialect.py
@@ -2,8 +2,8 @@
 
 from typing import Protocol
 
+from savoryarch.codec._reply_parser import HttpReply
 from savoryarch.codec._target_http import (
-    HttpReply,
     decode_attempt_reply,
     decode_probe_reply,
     encode_attempt,
@@ -11,12 +11,14 @@
     encode_probe,
 )
 from savoryarch.model import (
+    NO_ADVICE,
     AttemptReply,
     PartRequest,
     RouteRequest,
     SendAttempt,
     SnapshotId,
     Target,
+    TargetAdvice,
     TargetEvidence,
 )
 
@@ -50,6 +52,9 @@
     ) -> tuple[AttemptReply, tuple[SnapshotId, ...], float | None]:
         """Return the decoded reply, the snapshots that the target serves, and its load (0 to 1)."""
 
+    def decode_advice(self, reply: HttpReply) -> TargetAdvice:
+        """Return what the target states about itself in a reply, `NO_ADVICE` if nothing."""
+
     def encode_cancel(self, attempt_id: str, host: str) -> bytes | None:
         """Return the request that cancels an attempt; None if closing the connection cancels it."""
 
@@ -87,6 +92,10 @@
         assert isinstance(send.request, PartRequest | RouteRequest)
         return decode_attempt_reply(reply, send.attempt_id, send.request)
 
+    def decode_advice(self, reply: HttpReply) -> TargetAdvice:
+        """Return `NO_ADVICE`: these targets state it in the body of a refusal."""
+        return NO_ADVICE
+
     def encode_cancel(self, attempt_id: str, host: str) -> bytes | None:
         """Return the request that cancels an attempt."""
         return encode_cancel(attempt_id, host)
--- a/savoryarch/codec/_messages.py
+++ b/savoryarch/codec/_messages.py
@@ -59,7 +59,7 @@
         """
         try:
             plain = msgpack.decode(frame)
-        except (DecodeError, UnicodeDecodeError) as error:
+        except (DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise CodecError(f"frame is not msgpack: {error}") from error
         return self._from_plain(self.binary_converter, plain)
 
@@ -88,7 +88,7 @@
             raise CodecError(
                 "; ".join(transform_error(error, format_exception=_format_error))
             ) from error
-        except (TypeError, ValueError, KeyError) as error:
+        except (TypeError, ValueError, KeyError, OverflowError, RecursionError) as error:
             raise CodecError(str(error)) from error
 
 
--- a/savoryarch/codec/_target_http.py
+++ b/savoryarch/codec/_target_http.py
@@ -4,15 +4,12 @@
 """
 
 import math
-from collections.abc import Mapping
-from dataclasses import dataclass, field
 from functools import lru_cache
 from urllib.parse import quote
 
-from httptools import HttpParserError, HttpResponseParser
 from msgspec import DecodeError, Raw, Struct, json
 
-from savoryarch.exceptions import CodecError
+from savoryarch.codec._reply_parser import HttpReply
 from savoryarch.model import (
     AttemptReply,
     Cancelled,
@@ -30,39 +27,9 @@
     TargetFailed,
 )
 
-MAX_REPLY_BYTES = 16 * 1024 * 1024
 _HEADER_SAFE_CHARACTERS = "!#$&'()*+,/:;=?@[]^`{|}~<> \"\\"
 
 
-@dataclass(frozen=True, slots=True)
-class HttpReply:
-    """One complete HTTP reply.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status code.
-    body : bytes
-        Body.
-    headers : mapping of str to str
-        Values of the headers by their names in lower case; of repeated headers the last one.
-    keep_alive : bool
-        Whether the connection may be used for another request.
-    raw_headers : tuple of (bytes, bytes)
-        Names and values of all headers, as received.
-    """
-
-    status: int
-    body: bytes
-    headers: Mapping[str, str] = field(default_factory=dict)
-    keep_alive: bool = True
-    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
-
-    def header(self, name: str) -> str:
-        """Return the value of a header by its name in lower case; empty if it is absent."""
-        return self.headers.get(name, "")
-
-
 class _PartBody(Struct):
     snapshot: str
     complete: bool
@@ -249,81 +216,3 @@
 def _quote_header_value(value: str) -> str:
     # A key from a request body may have any characters, a header only printable ASCII.
     return quote(value, safe=_HEADER_SAFE_CHARACTERS)
-
-
-class HttpReplyParser:
-    """Incremental parser of the replies on one connection.
-
-    The parser does not know the requests. If a target sends bytes without a request, they may
-    result in another reply, which the user of the parser has to detect.
-    """
-
-    def __init__(self) -> None:
-        self._replies: list[HttpReply] = []
-        self._headers: dict[str, str] = {}
-        self._raw_headers: list[tuple[bytes, bytes]] = []
-        self._body_ends_at_close = False
-        self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
-        self._parser = HttpResponseParser(self)
-
-    def feed(self, data: bytes) -> tuple[HttpReply, ...]:
-        """Parse received bytes and return the replies that they complete.
-
-        Raises
-        ------
-        CodecError
-            If the bytes are not HTTP, or the body of a reply exceeds `MAX_REPLY_BYTES`.
-        """
-        try:
-            self._parser.feed_data(data)
-        except HttpParserError as error:
-            raise CodecError(f"reply is not HTTP: {error}") from error
-        if self._body_bytes > MAX_REPLY_BYTES:
-            raise CodecError(f"got a reply of over {MAX_REPLY_BYTES} bytes")
-        replies, self._replies = tuple(self._replies), []
-        return replies
-
-    def on_message_begin(self) -> None:
-        """Start a reply; callback of httptools."""
-        self._headers, self._raw_headers, self._body_chunks, self._body_bytes = {}, [], [], 0
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header to the current reply; callback of httptools."""
-        self._raw_headers.append((name, value))
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_headers_complete(self) -> None:
-        """Detect whether the body ends when the connection is closed; callback of httptools."""
-        has_length = "content-length" in self._headers or "transfer-encoding" in self._headers
-        self._body_ends_at_close = not has_length
-
-    def on_body(self, data: bytes) -> None:
-        """Add a chunk of the body to the current reply; callback of httptools."""
-        self._body_chunks.append(data)
-        self._body_bytes += len(data)
-
-    def on_message_complete(self) -> None:
-        """Complete the current reply; callback of httptools."""
-        self._body_ends_at_close = False
-        self._replies.append(self._make_reply(self._parser.should_keep_alive()))
-
-    def finish(self) -> HttpReply | None:
-        """Return the reply whose body ended when the target closed the connection.
-
-        Has to be called only after a close without an error. Returns None if no such reply has
-        started.
-        """
-        if not self._body_ends_at_close:
-            return None
-        self._body_ends_at_close = False
-        return self._make_reply(keep_alive=False)
-
-    def _make_reply(self, keep_alive: bool) -> HttpReply:
-        return HttpReply(
-            self._parser.get_status_code(),
-            b"".join(self._body_chunks),
-            self._headers,
-            keep_alive,
-            tuple(self._raw_headers),
-        )
--- /dev/null
+++ b/savoryarch/codec/tests/test_reply_limits.py
@@ -0,0 +1,73 @@
+"""A target in trouble that sends bytes without end is cut off within fixed limits.
+
+Without them, one connection could use up the memory of the process, or its time: a header value
+that arrives in pieces is copied with each piece.
+"""
+
+import pytest
+
+from savoryarch.codec import MAX_HEAD_BYTES, MAX_REPLY_BYTES, HttpReplyParser
+from savoryarch.exceptions import CodecError
+
+STATUS = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = STATUS + b"transfer-encoding: chunked\r\n\r\n"
+BLOCK = b"x" * 4096
+
+
+@pytest.mark.parametrize("read_bytes", [1, 700, 65_536])
+@pytest.mark.parametrize(
+    ("start", "endless", "limit_bytes"),
+    [
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n", MAX_HEAD_BYTES),
+        (b"", b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n", MAX_HEAD_BYTES),
+        (b"", b"\r\n", MAX_HEAD_BYTES),
+        (STATUS, b"x-pad: 1\r\n", MAX_HEAD_BYTES),
+        (STATUS + b"x-pad: ", BLOCK, MAX_HEAD_BYTES),
+        (STATUS, BLOCK, MAX_HEAD_BYTES),
+        (b"HTTP/1.1 200 ", BLOCK, MAX_HEAD_BYTES),
+        (CHUNKED + b"5\r\nabcde\r\n0\r\n", b"x-trailer: 1\r\n", MAX_HEAD_BYTES),
+        (CHUNKED + b"5\r\nabcde\r\n0\r\nx-trailer: ", BLOCK, MAX_HEAD_BYTES),
+        (CHUNKED + b"5;", BLOCK, MAX_HEAD_BYTES),
+    ],
+)
+def test_a_head_without_end_is_cut_off(start, endless, limit_bytes, read_bytes):
+    parser = HttpReplyParser()
+    parser.feed(start)
+    repeated = endless * (2 * limit_bytes // len(endless) + 2)
+    with pytest.raises(CodecError):
+        for position in range(0, len(repeated), read_bytes):
+            assert parser.feed(repeated[position : position + read_bytes]) == ()
+    assert parser.held_bytes <= limit_bytes + 3 * 65_536
+
+
+@pytest.mark.parametrize(
+    "start", [CHUNKED, STATUS + b"\r\n", STATUS + b"content-length: 99999999999\r\n\r\n"]
+)
+def test_a_body_without_end_is_cut_off(start):
+    parser = HttpReplyParser()
+    parser.feed(start)
+    piece = b"%x\r\n%s\r\n" % (len(BLOCK) * 16, BLOCK * 16) if start is CHUNKED else BLOCK * 16
+    with pytest.raises(CodecError):
+        for _ in range(2 * MAX_REPLY_BYTES // len(piece)):
+            parser.feed(piece)
+    assert parser.held_bytes <= MAX_REPLY_BYTES + 65_536
+
+
+@pytest.mark.parametrize(
+    ("data", "bodies"),
+    [
+        (STATUS + b"content-length: 2\r\n\r\nok", [b"ok"]),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + STATUS + b"content-length: 2\r\n\r\nok", [b"ok"]),
+        ((STATUS + b"content-length: 2\r\n\r\nok") * 3, [b"ok"] * 3),
+        (CHUNKED + b"1\r\na\r\n" * 50_000 + b"0\r\n\r\n", [b"a" * 50_000]),
+        (STATUS + b"x-pad: %s\r\ncontent-length: 1\r\n\r\nz" % (b"p" * 60_000), [b"z"]),
+    ],
+)
+@pytest.mark.parametrize("read_bytes", [1000, 1_000_000])
+def test_ordinary_replies_pass(data, bodies, read_bytes):
+    parser = HttpReplyParser()
+    replies = []
+    for position in range(0, len(data), read_bytes):
+        replies += parser.feed(data[position : position + read_bytes])
+    assert [reply.body for reply in replies] == bodies
+    assert parser.held_bytes == 0
--- a/savoryarch/discovery/_entries.py
+++ b/savoryarch/discovery/_entries.py
@@ -5,7 +5,12 @@
 
 from immutables import Map
 
-from savoryarch.discovery._state import DiscoveryState, MalformedEntry, UnrelatedEntry
+from savoryarch.discovery._state import (
+    DiscoveryState,
+    MalformedEntry,
+    StoreEntry,
+    UnrelatedEntry,
+)
 from savoryarch.model import (
     Count,
     Declarations,
@@ -121,8 +126,11 @@
     """Apply one changed or deleted entry. A table replaces only tables of lower versions."""
     state = result.state
     if change.value is None:
-        return _remove(result, change.key, now_ms)
-    entry = state.codec.decode(change.key, change.value)
+        return _remove(_clear_refusal(result, change.key), change.key, now_ms)
+    entry = _decode_entry(state, change.key, change.value)
+    if not isinstance(entry, MalformedEntry):
+        result = _clear_refusal(result, change.key)
+        state = result.state
     match entry:
         case ForwardingTable(version=version):
             if state.table is not None and version <= state.table.version:
@@ -139,6 +147,14 @@
             return result
 
 
+def _decode_entry(state: DiscoveryState, key: str, value: bytes) -> StoreEntry:
+    """Decode an entry; an unexpected error concerns this entry alone, and the others still hold."""
+    try:
+        return state.codec.decode(key, value)
+    except Exception as error:
+        return MalformedEntry(f"decoder failed: {error!r:.200}")
+
+
 def _put_target(result: ApplyResult, key: str, target: RegisteredTarget) -> ApplyResult:
     """Add or update a target, and log a new or changed registration."""
     state = result.state
@@ -152,10 +168,24 @@
 
 
 def _reject_entry(result: ApplyResult, key: str, detail: str, now_ms: float) -> ApplyResult:
-    """Report a malformed entry, and remove the target or instance that the key named before."""
-    fields = (("key", key), ("detail", detail))
-    effects = (Count("store_entries_refused", "malformed"), LogEvent("entry_refused", fields))
-    return _remove(replace(result, effects=result.effects + effects), key, now_ms)
+    """Report a malformed entry, and remove the target or instance that the key named before.
+
+    An entry that is written again with the same fault is counted and not logged again.
+    """
+    state = result.state
+    effects: tuple[object, ...] = (Count("store_entries_refused", "malformed"),)
+    if state.refused.get(key) != detail:
+        effects += (LogEvent("entry_refused", (("key", key), ("detail", detail))),)
+        state = replace(state, refused=state.refused.set(key, detail))
+    return _remove(ApplyResult(state, result.effects + effects), key, now_ms)
+
+
+def _clear_refusal(result: ApplyResult, key: str) -> ApplyResult:
+    """Forget that an entry was malformed."""
+    state = result.state
+    if key not in state.refused:
+        return result
+    return replace(result, state=replace(state, refused=state.refused.delete(key)))
 
 
 def _remove(result: ApplyResult, key: str, now_ms: float) -> ApplyResult:
--- a/savoryarch/discovery/_state.py
+++ b/savoryarch/discovery/_state.py
@@ -77,6 +77,8 @@
         `RegisteredInstance` by key.
     lapsed : Map
         Time at which a target is removed because its entry is missing, by key of the entry.
+    refused : Map
+        What is wrong with a malformed entry, by key of the entry.
     targets_discovered : bool
         Whether a table and at least one target have been read.
     failures : int
@@ -107,6 +109,7 @@
     targets: Map[str, RegisteredTarget] = field(default_factory=Map)
     instances: Map[str, RegisteredInstance] = field(default_factory=Map)
     lapsed: Map[str, float] = field(default_factory=Map)
+    refused: Map[str, str] = field(default_factory=Map)
     targets_discovered: bool = False
     failures: int = 0
     regained_at_ms: float = NEVER_MS
--- a/savoryarch/entry/_instance.py
+++ b/savoryarch/entry/_instance.py
@@ -10,6 +10,7 @@
 from savoryarch.codec import OUTER_NAMES, Dialect
 from savoryarch.entry._log import dropped_lines, log_error, log_event, log_routine
 from savoryarch.entry._metrics import Metrics
+from savoryarch.entry._reply_memory import ReplyMemory
 from savoryarch.entry._target_client import TargetClient
 from savoryarch.entry._timers import Timers
 from savoryarch.membership import live_peer_ids
@@ -38,6 +39,7 @@
     ProbeTarget,
     ReadInstanceList,
     RecordHistogram,
+    ReturnUnsent,
     RouteRequested,
     SearchRequested,
     SendAttempt,
@@ -47,6 +49,7 @@
     StatusRequested,
     StoreCall,
     StoreReplied,
+    StoreUnreachable,
 )
 from savoryarch.model.forwarding import (
     AnswerForward,
@@ -80,6 +83,8 @@
         Called with the exit code when the shutdown has finished.
     dialect : Dialect, optional
         The protocol that targets speak; default is `JsonDialect`.
+    reply_memory : ReplyMemory, optional
+        Limit on the bytes of incomplete replies of all targets.
 
     Attributes
     ----------
@@ -101,11 +106,12 @@
         metrics: Metrics,
         exit_process: Callable[[int], None],
         dialect: Dialect | None = None,
+        reply_memory: ReplyMemory | None = None,
     ) -> None:
         self.state = state
         self.clock = clock
         self.metrics = metrics
-        self.targets = TargetClient(reactor, clock, self.feed, dialect)
+        self.targets = TargetClient(reactor, clock, self.feed, dialect, reply_memory)
         self.timers = Timers(reactor, clock, self.feed)
         self.peers: Any = None
         self.store: Any = None
@@ -222,11 +228,31 @@
             # request that is affected ends at its deadline.
             event_name = _FAULT_NAMES.get(type(event), type(event).__name__)
             self.metrics.count("faults", event_name)
-            log_error("decision_failed", (("on", event_name), ("error", repr(error))))
+            log_error("decision_failed", (("on", event_name), ("error", f"{error!r:.500}")))
+            self._fail_store_call(event, error)
             return
         self.state = decided.state
         for effect in decided.effects:
-            self._perform(effect)
+            try:
+                self._perform(effect)
+            except Exception as error:
+                # The effects that follow belong to the new state and must be performed: one of
+                # them may set the timer without which a component would stop.
+                effect_name = type(effect).__name__
+                self.metrics.count("faults", effect_name)
+                log_error("effect_failed", (("on", effect_name), ("error", f"{error!r:.500}")))
+
+    def _fail_store_call(self, event: object, error: Exception) -> None:
+        """Let a component whose decision on a reply of the store failed treat the call as failed.
+
+        Otherwise it would wait for the reply forever, and no longer follow the store.
+        """
+        match event:
+            case StoreReplied(reply=StoreUnreachable()):
+                pass
+            case StoreReplied(call_id=call_id):
+                detail = f"decision failed: {type(error).__name__}"
+                self._events.append(StoreReplied(call_id, StoreUnreachable(detail)))
 
     def _perform(self, effect: object) -> None:
         match effect:
@@ -236,6 +262,7 @@
                 | ProbeTarget()
                 | OpenConnections()
                 | LimitConnections()
+                | ReturnUnsent()
             ):
                 self.targets.perform(effect)
             case SetTimer(timer_id=timer_id, at_ms=at_ms):
--- a/savoryarch/entry/_target_client.py
+++ b/savoryarch/entry/_target_client.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from savoryarch.codec import Dialect, JsonDialect
+from savoryarch.entry._reply_memory import ReplyMemory
 from savoryarch.entry._target_pool import TargetPool
 from savoryarch.model import (
     AttemptEnded,
@@ -13,12 +14,15 @@
     NotSent,
     OpenConnections,
     ProbeTarget,
+    ReturnUnsent,
     SendAttempt,
     Target,
 )
 from savoryarch.utils import Clock
 
-TargetEffect = SendAttempt | CancelAttempt | ProbeTarget | OpenConnections | LimitConnections
+TargetEffect = (
+    SendAttempt | CancelAttempt | ProbeTarget | OpenConnections | LimitConnections | ReturnUnsent
+)
 
 
 class TargetClient:
@@ -35,6 +39,8 @@
         `TargetEvidenceReceived`.
     dialect : Dialect, optional
         The protocol that targets speak; default is `JsonDialect`.
+    reply_memory : ReplyMemory, optional
+        Limit on the bytes of incomplete replies of all targets.
     """
 
     def __init__(
@@ -43,11 +49,13 @@
         clock: Clock,
         feed: Callable[[object], None],
         dialect: Dialect | None = None,
+        reply_memory: ReplyMemory | None = None,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._feed = feed
         self._dialect = dialect or JsonDialect()
+        self._reply_memory = reply_memory or ReplyMemory()
         self._pools: dict[str, TargetPool] = {}
 
     def declare(self, declarations: Declarations) -> None:
@@ -88,6 +96,8 @@
                 pool.keep_open(count)
             case LimitConnections(count=count):
                 pool.limit(count)
+            case ReturnUnsent():
+                pool.return_unsent("the target asked for no more requests")
 
     def connection_count(self, target_id: str) -> int:
         """Return the number of connections of this instance to a target."""
@@ -101,7 +111,9 @@
         self._pools.clear()
 
     def _make_pool(self, target: Target) -> TargetPool:
-        return TargetPool(target, self._reactor, self._clock, self._feed, self._dialect)
+        return TargetPool(
+            target, self._reactor, self._clock, self._feed, self._dialect, self._reply_memory
+        )
 
     def _fail_undeclared(self, effect: TargetEffect) -> None:
         if isinstance(effect, SendAttempt):
--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -61,6 +61,12 @@
     def connection_opened(self, connection: "TargetConnection") -> None:
         """Handle that the target accepted the connection."""
 
+    def reply_received(self, reply: HttpReply) -> None:
+        """Handle what the target states about itself in a reply, before the reply is delivered."""
+
+    def update_held_bytes(self, connection: "TargetConnection", held_bytes: int) -> None:
+        """Handle a change of the bytes that the connection holds of an incomplete reply."""
+
     def idle_until_ms(self, reply: HttpReply) -> float:
         """Return the time, on the process's clock, until which the connection may be reused."""
 
@@ -99,6 +105,7 @@
         self._parser = HttpReplyParser()
         self._exchange: Exchange | None = None
         self._reply: HttpReply | None = None
+        self._held_bytes = 0
         self._failure_detail = ""
         self._grace_timer: Any = None
         self._closed = False
@@ -142,11 +149,15 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse bytes from the target and handle complete replies; called by Twisted."""
+        if self._closed:
+            return
         try:
             replies = self._parser.feed(data)
         except CodecError as error:
             self._handle_protocol_error(str(error))
             return
+        if self._parser.held_bytes != self._held_bytes:
+            self._report_held_bytes(self._parser.held_bytes)
         for index, reply in enumerate(replies):
             if self._closed:
                 return
@@ -158,6 +169,7 @@
                 return
             self._reply = reply
             self.served = True
+            self._owner.reply_received(reply)
             self.idle_until_ms = self._owner.idle_until_ms(reply)
             if reply.keep_alive:
                 self._step("replied")
@@ -173,12 +185,22 @@
             self._step("lost")
         self._notify_closed(None)
 
+    def fail_reply(self, detail: str) -> None:
+        """Close the connection, because incomplete replies hold too much memory."""
+        self._held_bytes = 0
+        self._handle_protocol_error(detail)
+
+    def _report_held_bytes(self, held_bytes: int) -> None:
+        self._held_bytes = held_bytes
+        self._owner.update_held_bytes(self, held_bytes)
+
     def _end_reply(self) -> None:
         """Deliver a reply whose body is delimited by the end of the connection."""
         self._reply = self._parser.finish()
         exchange = self._exchange
         if self._reply is None or exchange is None or not exchange.owns_reply(self._reply):
             return
+        self._owner.reply_received(self._reply)
         self._step("replied_last")
 
     def _is_idle(self) -> bool:
@@ -231,14 +253,21 @@
         self._closed = True
         self._notify_closed(TargetEvidence.CONNECTION_CLOSED)
 
+    def _drop_held_bytes(self) -> None:
+        self._parser = HttpReplyParser()
+        if self._held_bytes:
+            self._report_held_bytes(0)
+
     def _notify_closed(self, evidence: TargetEvidence | None) -> None:
         # The connection counts against the target's limit until its transport has ended.
         if not self._close_notified:
             self._close_notified = True
+            self._drop_held_bytes()
             self._owner.connection_closed(self, evidence)
 
     def _close(self) -> None:
         self._closed = True
+        self._drop_held_bytes()
         if self.transport is not None:
             self.transport.abortConnection()
 
--- a/savoryarch/entry/_target_pool.py
+++ b/savoryarch/entry/_target_pool.py
@@ -9,18 +9,22 @@
 from twisted.python.failure import Failure
 
 from savoryarch.codec import Dialect, HttpReply
+from savoryarch.entry._log import log_error
 from savoryarch.entry._operations import (
     AttemptOperation,
     CancelOperation,
     ProbeOperation,
     TargetOperation,
 )
+from savoryarch.entry._reply_memory import ReplyMemory
 from savoryarch.entry._target_connection import TargetConnection
 from savoryarch.model import (
+    NO_ADVICE,
     Cancelled,
     NotSent,
     SendAttempt,
     Target,
+    TargetAdvised,
     TargetEvidence,
     TargetEvidenceReceived,
     TimedOut,
@@ -53,6 +57,8 @@
         Called with the events `AttemptEnded` and `TargetEvidenceReceived`.
     dialect : Dialect
         The protocol that the target speaks.
+    reply_memory : ReplyMemory, optional
+        Limit on the bytes of incomplete replies, shared with the pools of other targets.
     """
 
     def __init__(
@@ -62,8 +68,10 @@
         clock: Clock,
         feed: Callable[[object], None],
         dialect: Dialect,
+        reply_memory: ReplyMemory | None = None,
     ) -> None:
         self.target = target
+        self._reply_memory = reply_memory or ReplyMemory()
         self.reactor = reactor
         self.clock = clock
         self.feed = feed
@@ -158,11 +166,15 @@
         if self._pause_timer is not None:
             self._pause_timer.cancel()
             self._pause_timer = None
-        while self._waiting:
-            self._waiting.popleft().on_failure(NotSent("target is not declared any more"))
+        self.return_unsent("target is not declared any more")
         while self._idle:
             self._retire(self._idle[0])
 
+    def return_unsent(self, detail: str) -> None:
+        """End the operations that wait for a connection."""
+        while self._waiting:
+            self._waiting.popleft().on_failure(NotSent(detail))
+
     def remove_attempt(self, attempt_id: str) -> None:
         """Remove an attempt that has ended."""
         self._attempts.pop(attempt_id, None)
@@ -219,6 +231,16 @@
         elif self._waiting or self._probe_wanted:
             self._connect_if_allowed()
 
+    def reply_received(self, reply: HttpReply) -> None:
+        """Feed what the target states about itself in a reply."""
+        advice = self.dialect.decode_advice(reply)
+        if advice is not NO_ADVICE:
+            self.feed(TargetAdvised(self.target.target_id, advice))
+
+    def update_held_bytes(self, connection: TargetConnection, held_bytes: int) -> None:
+        """Account for the bytes that a connection holds of an incomplete reply."""
+        self._reply_memory.update(connection, held_bytes)
+
     def idle_until_ms(self, reply: HttpReply) -> float:
         """Return the time, on the process's clock, until which a connection may be reused."""
         return self.clock.now_ms() + self.dialect.max_idle_ms(reply)
@@ -313,7 +335,9 @@
         connectProtocol(endpoint, connection).addErrback(self._connect_failed, connection)
 
     def _connect_failed(self, failure: Failure, connection: TargetConnection) -> None:
-        failure.trap(ConnectError)
+        if not failure.check(ConnectError):
+            detail = (("target", self.target.target_id), ("error", failure.getErrorMessage()))
+            log_error("connect_failed", detail)
         connection.connect_failed()
 
     def _fail_waiting(self, detail: str) -> None:
--- a/savoryarch/entry/_wiring.py
+++ b/savoryarch/entry/_wiring.py
@@ -11,6 +11,7 @@
 from savoryarch.entry._instance import EntryInstance
 from savoryarch.entry._instance_list import InstanceListClient
 from savoryarch.entry._metrics import Metrics
+from savoryarch.entry._reply_memory import make_reply_memory
 from savoryarch.platform import (
     PlatformDialect,
     decode_store_reply,
@@ -61,7 +62,10 @@
         make_entry_codec(settings.discovery.instances_prefix),
     )
     dialect = PlatformDialect() if settings.forwarding.enabled else None
-    instance = EntryInstance(state, reactor, make_monotonic_clock(), metrics, exit_process, dialect)
+    reply_memory = make_reply_memory(settings.instance.memory_mb)
+    instance = EntryInstance(
+        state, reactor, make_monotonic_clock(), metrics, exit_process, dialect, reply_memory
+    )
     instance.peers = peers
     instance.store = _make_store(settings, reactor)
     list_url = settings.platform.instance_list_url
--- a/savoryarch/forwarding/_admission.py
+++ b/savoryarch/forwarding/_admission.py
@@ -18,7 +18,7 @@
     ToShards,
 )
 from savoryarch.quarantine import Quarantined, check_request, fingerprint_request
-from savoryarch.targets import TargetsState, has_serving_target
+from savoryarch.targets import TargetsState, has_serving_target, pause_ends_at_ms
 from savoryarch.utils import replace
 
 # The bound on the load of a service is multiplied by a priority factor: 1 for the most urgent
@@ -143,10 +143,17 @@
     ]
     if len(unserved) > allowed_missing:
         return RefusalReason.NO_TARGET
+    paused = [
+        service
+        for service in services
+        if pause_ends_at_ms(context.targets, service) > forward.objective_at_ms
+    ]
+    if len(paused) > allowed_missing:  # includes the services without a target
+        return RefusalReason.OVERLOADED
     overloaded = sum(
-        1 for service in services if service not in unserved and _is_overloaded(context, service)
+        1 for service in services if service not in paused and _is_overloaded(context, service)
     )
-    return RefusalReason.OVERLOADED if overloaded + len(unserved) > allowed_missing else None
+    return RefusalReason.OVERLOADED if overloaded + len(paused) > allowed_missing else None
 
 
 def _is_overloaded(context: DecisionContext, service: str) -> bool:
--- a/savoryarch/forwarding/_decide.py
+++ b/savoryarch/forwarding/_decide.py
@@ -21,6 +21,7 @@
 from savoryarch.forwarding._sub_requests import (
     CAPACITY_POLL_MS,
     apply_attempt_result,
+    drop_unservable,
     send_waiting,
 )
 from savoryarch.model import (
@@ -35,6 +36,7 @@
     RequestIntakeStopped,
     SetTimer,
     SettingsReloaded,
+    TargetAdvised,
     TimerFired,
 )
 from savoryarch.model.forwarding import (
@@ -43,7 +45,7 @@
     TableInForce,
 )
 from savoryarch.quarantine import handle_quarantine_message, record_attempt_result
-from savoryarch.targets import SUSPECTED, TargetsState, end_attempt, has_capacity
+from savoryarch.targets import SUSPECTED, TargetsState, end_attempt, has_capacity, may_probe
 from savoryarch.utils import replace
 
 MAX_DISPATCHES_PER_EVENT = 8  # bounds the work of one event, however long the queue is
@@ -79,13 +81,9 @@
         case TimerFired(timer_id=timer_id):
             return _handle_timer(state, targets, timer_id, now_ms)
         case CallerDisconnected(request_id=request_id):
-            return _update_forward(
-                state,
-                targets,
-                request_id,
-                now_ms,
-                lambda context: step_forward(context, "client_disconnected"),
-            )
+            return _update_forward(state, targets, request_id, now_ms, _disconnect_client)
+        case TargetAdvised(target_id=target_id):
+            return _drop_unservable_requests(state, targets, target_id, now_ms)
         case TableInForce(table=table):
             return _apply_table(state, targets, table, now_ms)
         case PeerMessageReceived(message=message):
@@ -101,6 +99,10 @@
             return DecidedOnTargets(state, targets)
 
 
+def _disconnect_client(context: DecisionContext) -> DecisionContext:
+    return step_forward(context, "client_disconnected")
+
+
 def _apply_table(
     state: ForwardingState, targets: TargetsState, table: ForwardingTable, now_ms: float
 ) -> DecidedForward:
@@ -145,7 +147,7 @@
     effects = (*recorded.effects, histogram)
     record = targets.records.get(ended.target_id)
     # A probe decides whether a suspected target is live. `end_attempt` returns no effects.
-    if record is not None and record.chart_state == SUSPECTED:
+    if record is not None and record.chart_state == SUSPECTED and may_probe(record, now_ms):
         effects = (*effects, ProbeTarget(ended.target_id))
     decided = DecidedOnTargets(state, targets, effects)
     forward = state.forwards.get(attempt.request_id)
@@ -205,6 +207,28 @@
     return decided
 
 
+def _drop_unservable_requests(
+    state: ForwardingState, targets: TargetsState, target_id: str, now_ms: float
+) -> DecidedForward:
+    """End what waits for a service that will not serve it in time, as its targets have stated.
+
+    Otherwise these requests would wait until their deadlines.
+    """
+    decided: DecidedForward = DecidedOnTargets(state, targets)
+    record = targets.records.get(target_id)
+    if record is None:
+        return decided
+    service = record.target.service
+    for request_id in state.waiting.get(service, ()):
+        decided = _chain_decisions(
+            decided,
+            request_id,
+            now_ms,
+            lambda context: check_completion(drop_unservable(context, service)),
+        )
+    return decided
+
+
 def _chain_decisions(
     decided: DecidedForward,
     request_id: str,
--- a/savoryarch/forwarding/_forward_chart.py
+++ b/savoryarch/forwarding/_forward_chart.py
@@ -28,6 +28,7 @@
     ToShards,
     Unanswered,
 )
+from savoryarch.targets import pause_ends_at_ms
 from savoryarch.utils import replace
 
 CHART = load_chart(
@@ -280,15 +281,40 @@
         forward.refusal,
         f"request of route {forward.route.name!r} was not run: {forward.refusal.value}",
         not_run=True,
-        retry_after_ms=compute_retry_after_ms(forward, context.now_ms),
+        retry_after_ms=compute_retry_after_ms(
+            forward, context.now_ms, max(0.0, _pause_ends_at_ms(context) - context.now_ms)
+        ),
     )
 
 
-def compute_retry_after_ms(forward: Forward, now_ms: float) -> float:
+def _pause_ends_at_ms(context: DecisionContext) -> float:
+    """Return when enough services take requests again for an answer, by what their targets state.
+
+    The time has passed if enough take requests now, and if some have no target at all, so that no
+    time is known.
+    """
+    forward = context.forward
+    ends = sorted(pause_ends_at_ms(context.targets, service) for service in forward.services)
+    known = [at_ms for at_ms in ends if at_ms < NEVER_MS]
+    if not known or len(known) < forward.required_count:
+        return context.now_ms
+    return known[forward.required_count - 1]
+
+
+def compute_retry_after_ms(forward: Forward, now_ms: float, pause_ms: float = 0.0) -> float:
     """Return the time in ms after which the client should retry.
 
     The time is sampled by a hash of the client's request id, so that clients that were refused
     together do not retry together.
+
+    Parameters
+    ----------
+    forward : Forward
+        The request.
+    now_ms : float
+        Current time, on the clock of the process.
+    pause_ms : float, optional
+        Time until the targets take requests again, before which a retry would be refused.
     """
     remaining_ms = max(0.0, forward.deadline_at_ms - now_ms)
     latest_ms = min(MAX_RETRY_AFTER_MS, MAX_RETRY_AFTER_SHARE * remaining_ms)
@@ -297,4 +323,6 @@
         % _SAMPLE_RANGE
         / _SAMPLE_RANGE
     )
+    if pause_ms > 0.0:
+        return pause_ms + latest_ms * (1.0 - MIN_RETRY_AFTER_RATIO) * sample
     return latest_ms * (MIN_RETRY_AFTER_RATIO + (1.0 - MIN_RETRY_AFTER_RATIO) * sample)
--- a/savoryarch/forwarding/_sub_requests.py
+++ b/savoryarch/forwarding/_sub_requests.py
@@ -1,6 +1,7 @@
 """Sends, hedges and retries the sub-requests of a request, by the chart ``sub_request``."""
 
 from savoryarch.charts import load_chart
+from savoryarch.forwarding._attempt_logs import make_failure_log, make_resend_log, reply_label
 from savoryarch.forwarding._budgets import refund_extra, spend_extra
 from savoryarch.forwarding._context import (
     CAPACITY_TIMER,
@@ -12,11 +13,9 @@
 from savoryarch.forwarding._state import NEVER_MS, ForwardAttempt, SubRequest
 from savoryarch.model import (
     AttemptEnded,
-    AttemptReply,
     CancelAttempt,
     Count,
     Draining,
-    LogRoutine,
     Misdirected,
     NotSent,
     ResponseReturned,
@@ -47,7 +46,7 @@
     target_id = _choose_target(context, sub_request)
     if target_id is not None:
         return _send(context, sub_request, target_id)
-    if has_serving_target(context.targets, sub_request.service, sub_request.excluded, None):
+    if _may_be_served(context, sub_request.service, sub_request.excluded):
         return _enqueue(put_sub_request(context, sub_request), sub_request.service)
     return mark_left_out(context, sub_request, "no_target")
 
@@ -63,7 +62,7 @@
     reply, target_id = ended.reply, ended.target_id
     sub_request = context.forward.sub_requests[service]
     if not isinstance(reply, ResponseReturned) or reply.status >= FIRST_FAILURE_STATUS:
-        context = emit(context, _make_failure_log(context, ended, service))
+        context = emit(context, make_failure_log(context, ended, service))
     attempt_ids = tuple(name for name in sub_request.attempt_ids if name != ended.attempt_id)
     sub_request = replace(sub_request, attempt_ids=attempt_ids)
     match reply:
@@ -90,35 +89,16 @@
             return _step(context, replace(sub_request, failure="shed"), "failed")
         case Draining() | Misdirected():
             excluded = sub_request.excluded | {target_id}
-            failed = replace(sub_request, excluded=excluded, failure=_reply_label(reply))
+            failed = replace(sub_request, excluded=excluded, failure=reply_label(reply))
             return _step(context, failed, "failed")
         case _:
             excluded = sub_request.excluded | {target_id}
             failed = replace(
-                sub_request, excluded=excluded, may_have_run=True, failure=_reply_label(reply)
+                sub_request, excluded=excluded, may_have_run=True, failure=reply_label(reply)
             )
             return _step(context, failed, "failed")
 
 
-def _make_failure_log(context: DecisionContext, ended: AttemptEnded, service: str) -> LogRoutine:
-    """Return the log event of a failed attempt, with this instance's load on the target."""
-    usage = context.targets.usages.get(ended.target_id)
-    reply = ended.reply
-    status = str(reply.status) if isinstance(reply, ResponseReturned) else ""
-    fields = (
-        ("request", context.forward.event.request.client_request_id),
-        ("service", service),
-        ("target", ended.target_id),
-        ("reply", _reply_label(reply)),
-        ("status", status),
-        ("detail", str(getattr(reply, "detail", ""))),
-        ("waited_ms", f"{context.now_ms - context.forward.received_at_ms:.0f}"),
-        ("target_in_flight", str(usage.in_flight) if usage else "gone"),
-        ("target_failing", f"{usage.failure_share:.2f}" if usage else "gone"),
-    )
-    return LogRoutine("attempt_failed", fields)
-
-
 def check_hedges(context: DecisionContext) -> DecisionContext:
     """Step each sub-request whose hedge is due, and schedule the check for the next one."""
     for service in context.forward.services:
@@ -248,29 +228,11 @@
             return None
         context = charged
     context = emit(
-        context, Count("retries", reason), _make_resend_log(context, sub_request, reason, target_id)
+        context, Count("retries", reason), make_resend_log(context, sub_request, reason, target_id)
     )
     return _send(context, sub_request, target_id)
 
 
-def _make_resend_log(
-    context: DecisionContext, sub_request: SubRequest, reason: str, target_id: str
-) -> LogRoutine:
-    """Return the log event of a resend, with its reason and the state that led to it."""
-    forward = context.forward
-    service_budget = context.state.budgets.get(sub_request.service)
-    fields = (
-        ("request", forward.event.request.client_request_id),
-        ("service", sub_request.service),
-        ("reason", reason),
-        ("target", target_id),
-        ("tried", ",".join(sorted(sub_request.attempted_target_ids))),
-        ("waited_ms", f"{context.now_ms - forward.received_at_ms:.0f}"),
-        ("budget_left", f"{service_budget.budget.tokens:.1f}" if service_budget else "none"),
-    )
-    return LogRoutine("piece_resent", fields)
-
-
 def _has_candidates(context: DecisionContext, sub_request: SubRequest) -> bool:
     """Return whether some target may get the sub-request, with or without capacity now."""
     forward = context.forward
@@ -279,9 +241,30 @@
     verdict = check_request(context.state.quarantine, forward.fingerprint, context.now_ms)
     if isinstance(verdict, Quarantined):
         return False
-    return has_serving_target(
-        context.targets, sub_request.service, _exclusions(context, sub_request), None
-    )
+    return _may_be_served(context, sub_request.service, _exclusions(context, sub_request))
+
+
+def _may_be_served(context: DecisionContext, service: str, excluded: frozenset[str]) -> bool:
+    """Return whether a target of a service may get a sub-request in time, now or after a pause.
+
+    A target that asked for a pause counts if the pause ends before the latency objective, or before
+    the deadline if the objective has passed. Waiting longer would only delay the refusal.
+    """
+    forward = context.forward
+    until_ms = forward.objective_at_ms
+    if context.now_ms >= until_ms:
+        until_ms = forward.deadline_at_ms
+    return has_serving_target(context.targets, service, excluded, None, until_ms)
+
+
+def drop_unservable(context: DecisionContext, service: str) -> DecisionContext:
+    """Leave out a waiting sub-request if no target of its service will serve it in time."""
+    sub_request = context.forward.sub_requests.get(service)
+    if sub_request is None or sub_request.chart_state != "waiting":
+        return context
+    if _has_candidates(context, sub_request):
+        return context
+    return mark_left_out(context, sub_request, sub_request.failure or "no_target")
 
 
 def _exclusions(context: DecisionContext, sub_request: SubRequest) -> frozenset[str]:
@@ -392,9 +375,3 @@
 def _priority_of(context: DecisionContext, request_id: str) -> int:
     forward = context.state.forwards.get(request_id)
     return forward.route.priority if forward else 0
-
-
-def _reply_label(reply: AttemptReply) -> str:
-    """Return the name of a reply's class in snake case, as log lines and counters have it."""
-    name = type(reply).__name__
-    return "".join(f"_{letter.lower()}" if letter.isupper() else letter for letter in name)[1:]
--- a/savoryarch/model/__init__.py
+++ b/savoryarch/model/__init__.py
@@ -174,6 +174,7 @@
     WatchKeys,
 )
 from savoryarch.model._targets import (
+    NO_ADVICE,
     AttemptEnded,
     AttemptReply,
     CancelAttempt,
@@ -190,11 +191,14 @@
     PartReturned,
     ProbeTarget,
     ResponseReturned,
+    ReturnUnsent,
     RouteRequest,
     RouteReturned,
     SendAttempt,
     Shed,
     SnapshotNotServed,
+    TargetAdvice,
+    TargetAdvised,
     TargetEvidence,
     TargetEvidenceReceived,
     TargetFailed,
@@ -202,6 +206,10 @@
 )
 
 __all__ = [
+    "NO_ADVICE",
+    "ReturnUnsent",
+    "TargetAdvice",
+    "TargetAdvised",
     "GrantLease",
     "KeepLease",
     "PutLeased",
--- a/savoryarch/model/_targets.py
+++ b/savoryarch/model/_targets.py
@@ -252,6 +252,45 @@
     load: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class TargetAdvice:
+    """What a target states about itself in a reply, besides the reply to the request.
+
+    Parameters
+    ----------
+    leaving : bool
+        Whether the target leaves the fleet.
+    hold_ms : float or None
+        Time in ms for which the target wants no requests from this instance; None if it states
+        none.
+    ignored : str
+        A statement that could not be used as it was, for the log; empty if there is none.
+    """
+
+    leaving: bool = False
+    hold_ms: float | None = None
+    ignored: str = ""
+
+
+NO_ADVICE = TargetAdvice()
+
+
+@dataclass(frozen=True, slots=True)
+class TargetAdvised:
+    """Event: a target stated something about itself; precedes the `AttemptEnded` of the reply.
+
+    Parameters
+    ----------
+    target_id : str
+        The declared target.
+    advice : TargetAdvice
+        Its statement.
+    """
+
+    target_id: str
+    advice: TargetAdvice
+
+
 class TargetEvidence(Enum):
     """Kind of evidence of a target's state: list, registration, connection or probe."""
 
@@ -301,6 +340,13 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReturnUnsent:
+    """Effect: end the attempts that wait for a connection to a target, with `NotSent`."""
+
+    target_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class LimitConnections:
     """Effect: limit the connections to a target to `count`, and close idle ones above it."""
--- a/savoryarch/peers/_frame.py
+++ b/savoryarch/peers/_frame.py
@@ -16,6 +16,7 @@
     UNKNOWN_MESSAGE = "unknown_message"
     OLD_INCARNATION = "old_incarnation"
     NOT_AUTHENTIC = "not_authentic"
+    DECODER_FAILED = "decoder_failed"
 
 
 class Frame(msgspec.Struct, array_like=True, frozen=True):
@@ -52,7 +53,7 @@
     """Decode a frame; return the reason if it is malformed or of an unknown version."""
     try:
         frame = _DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return FrameDropReason.MALFORMED
     if frame.version != FRAME_VERSION:
         return FrameDropReason.UNKNOWN_VERSION
--- a/savoryarch/peers/_transport.py
+++ b/savoryarch/peers/_transport.py
@@ -216,6 +216,10 @@
         except CodecError:
             self._callbacks.on_dropped(FrameDropReason.UNKNOWN_MESSAGE.value)
             return
+        except Exception:
+            # Twisted would stop reading from a socket whose reader raises an exception.
+            self._callbacks.on_dropped(FrameDropReason.DECODER_FAILED.value)
+            return
         if sender_id in self._addresses:
             self._incarnations[sender_id] = incarnation
         self._callbacks.on_received(len(data))
@@ -233,7 +237,12 @@
                 reconnect_time_max=RECONNECT_MAX_MS,
                 tls_config=self._dialer_tls,
             )
-            socket.dial(f"{self._scheme}://{address.host}:{address.port}", block=False)
+            try:
+                socket.dial(f"{self._scheme}://{address.host}:{address.port}", block=False)
+            except pynng.NNGException:
+                socket.close()
+                self._callbacks.on_dropped("unusable_address")
+                return None
             self._sockets[peer_id] = socket
         return socket
 
--- a/savoryarch/platform/_records.py
+++ b/savoryarch/platform/_records.py
@@ -1,5 +1,8 @@
 """Decodes the entries of the store that operators, targets and entry instances write."""
 
+from ipaddress import IPv4Address
+from typing import Annotated
+
 import msgspec
 from immutables import Map
 
@@ -24,11 +27,29 @@
 DEFAULT_MAX_ATTEMPTS = 2
 _READY = "ready"
 _DRAINING = "draining"
+_MAX_PORT = 65_535
+_MAX_NAME_CHARACTERS = 200  # the store's limit on the length of a key
+# Above any real number of slots or connections, and small enough to calculate with.
+_MAX_COUNT = 1_000_000
+_MAX_INT64 = 2**63 - 1
+_MAX_MS = 86_400_000.0  # one day
+
+# Other writers may leave entries with numbers of any size; these types reject those out of range.
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_CHARACTERS)]
+_Host = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,253}$")]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=_MAX_COUNT)]
+_ByteCount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT64)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT64)]
+_Version = Annotated[int, msgspec.Meta(ge=-_MAX_INT64, le=_MAX_INT64)]
+_DurationMs = Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_MS)]
+_Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 
 
 class _SplitPart(msgspec.Struct, rename="kebab"):
     service: str
-    weight: float
+    weight: Annotated[float, msgspec.Meta(ge=0.0, le=float(_MAX_COUNT))]
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -37,55 +58,55 @@
     path_prefix: str
     # "idempotent"; a route with any other type is treated as not idempotent.
     type: str
-    timeout_ms: float
+    timeout_ms: _DurationMs
     # The latency objective of a request (service level objective).
-    slo_ms: float = 1000.0
-    priority: int = 0
-    max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    slo_ms: _DurationMs = 1000.0
+    priority: _Count = 0
+    max_attempts: _Count = DEFAULT_MAX_ATTEMPTS
     service: str | None = None
     split: tuple[_SplitPart, ...] = ()
     # The shards of a search, one service each.
     gather: tuple[str, ...] = ()
     # Number of records in the answer to a search.
-    top_k: int = 0
+    top_k: _Count = 0
     # Least share of the shards, from 0 to 1, that an answer to a search needs.
-    min_coverage: float = 0.0
+    min_coverage: _Share = 0.0
 
 
 class _Service(msgspec.Struct, rename="kebab"):
     name: str
-    max_conns: int
+    max_conns: _Count
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: _ByteCount
+    max_body_bytes: _ByteCount
+    header_timeout_ms: _DurationMs
+    idle_timeout_ms: _DurationMs
 
 
 class _Configuration(msgspec.Struct, rename="kebab"):
-    version: int
+    version: _Version
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _Limits | None = None
 
 
 class _TargetRegistration(msgspec.Struct, rename="kebab"):
-    service: str
+    service: _Name
     address: str
-    zone: str
-    slots: int
+    zone: _Name
+    slots: _PositiveCount
     state: str
     # Start of the target in Unix milliseconds; a new start under the same name is a new target.
-    born: int = 0
+    born: _UnixMs = 0
 
 
 class _InstanceRegistration(msgspec.Struct):
-    instance_id: str
-    availability_zone: str
-    host: str
-    port: int
+    instance_id: _Name
+    availability_zone: _Name
+    host: _Host
+    port: _Port
 
 
 def make_entry_codec(instances_prefix: str) -> StoreEntryCodec:
@@ -110,14 +131,8 @@
             if key.startswith(TARGETS_PREFIX):
                 return decode_target(key.removeprefix(TARGETS_PREFIX), value)
             if key.startswith(instances_prefix):
-                registration = msgspec.json.decode(value, type=_InstanceRegistration)
-                return RegisteredInstance(
-                    registration.instance_id,
-                    registration.availability_zone,
-                    registration.host,
-                    registration.port,
-                )
-        except (msgspec.MsgspecError, ValueError) as error:
+                return decode_instance(value)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             return MalformedEntry(str(error))
         return UnrelatedEntry()
 
@@ -132,14 +147,36 @@
     return msgspec.json.encode(registration)
 
 
+def decode_instance(value: bytes) -> RegisteredInstance:
+    """Decode the registration of an entry instance.
+
+    Raises
+    ------
+    ValueError
+        If the value is not JSON, lacks a field, or has a field of another type or out of range.
+        ``msgspec.DecodeError`` is such an error.
+    RecursionError
+        If the value is nested too deeply.
+    """
+    registration = msgspec.json.decode(value, type=_InstanceRegistration)
+    return RegisteredInstance(
+        registration.instance_id,
+        registration.availability_zone,
+        registration.host,
+        registration.port,
+    )
+
+
 def decode_table(value: bytes) -> ForwardingTable:
     """Decode the operator's configuration, which defines the forwarding table.
 
     Raises
     ------
     ValueError
-        If the value is not JSON, lacks a field, has a field of another type, or has a route
-        without a service. ``msgspec.DecodeError`` is such an error.
+        If the value is not JSON, lacks a field, has a field of another type or out of range, or
+        has a route without a service. ``msgspec.DecodeError`` is such an error.
+    RecursionError
+        If the value is nested too deeply.
     """
     configuration = msgspec.json.decode(value, type=_Configuration)
     limits = FrontLimits()
@@ -197,22 +234,45 @@
     Raises
     ------
     ValueError
-        If the value is not JSON, lacks a field, has a field of another type, an address that is
-        not HOST:PORT, an unknown state, or no slot. ``msgspec.DecodeError`` is such an error.
+        If the value is not JSON, lacks a field, has a field of another type or out of range, an
+        address that is not an IPv4 address and a port, an unknown state, or a name that a header
+        cannot carry. ``msgspec.DecodeError`` is such an error.
+    RecursionError
+        If the value is nested too deeply.
     """
+    # The name is sent in a header, where a line break would start another header.
+    if not (name.isascii() and name.isprintable()) or " " in name:
+        raise ValueError(f"got target name {name!r}, expected printable ASCII without spaces")
     registration = msgspec.json.decode(value, type=_TargetRegistration)
-    host, colon, port = registration.address.rpartition(":")
-    if not colon or not port.isdigit():
-        raise ValueError(f"got address {registration.address!r}, expected HOST:PORT")
+    host, port = _split_address(registration.address)
     if registration.state not in (_READY, _DRAINING):
-        raise ValueError(f"got state {registration.state!r}, expected {_READY!r} or {_DRAINING!r}")
-    if registration.slots < 1:
-        raise ValueError(f"got {registration.slots} slots, expected at least 1")
+        state = registration.state[:_MAX_NAME_CHARACTERS]
+        raise ValueError(f"got state {state!r}, expected {_READY!r} or {_DRAINING!r}")
     target = Target(
         make_target_id(name, registration.born),
         registration.service,
         registration.zone,
         host,
-        int(port),
+        port,
     )
     return RegisteredTarget(target, name, registration.slots, registration.state == _DRAINING)
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address.
+
+    Raises
+    ------
+    ValueError
+        If the address is not ``HOST:PORT`` with an IPv4 address and a port from 1 to 65,535.
+    """
+    shown = address[:_MAX_NAME_CHARACTERS]
+    host, colon, port = address.rpartition(":")
+    if not colon or not (port.isascii() and port.isdigit()) or len(port) > len(str(_MAX_PORT)):
+        raise ValueError(f"got address {shown!r}, expected HOST:PORT")
+    if not 1 <= int(port) <= _MAX_PORT:
+        raise ValueError(f"got port {port} in address {shown!r}, expected 1 to {_MAX_PORT}")
+    try:
+        return str(IPv4Address(host)), int(port)
+    except ValueError as error:
+        raise ValueError(f"got address {shown!r}, expected an IPv4 address") from error
--- a/savoryarch/platform/_store.py
+++ b/savoryarch/platform/_store.py
@@ -2,6 +2,7 @@
 
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
+from typing import Annotated
 
 import msgspec
 
@@ -46,9 +47,13 @@
 }
 
 
+# A revision is sent back in later calls, so that one out of range would make each of them fail.
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _Item(msgspec.Struct, rename="kebab"):
     key: str
-    revision: int
+    revision: _Revision
     value: str = ""
     deleted: bool = False
 
@@ -56,10 +61,10 @@
 class _Body(msgspec.Struct, rename="kebab"):
     # The fields of the bodies of all replies; each kind of reply has only some of them.
     # The revision of the store as a whole, whereas `revision` is that of the last change of a key.
-    store_revision: int = 0
-    revision: int = 0
+    store_revision: _Revision = 0
+    revision: _Revision = 0
     value: str = ""
-    lease: int = 0
+    lease: _Revision = 0
     ttl_ms: float = 0.0
     has_more: bool = False
     items: tuple[_Item, ...] = ()
@@ -112,7 +117,7 @@
         return StoreLimited()
     try:
         return _decode_body(call, reply)
-    except (msgspec.MsgspecError, Base64Error, ValueError) as error:
+    except (msgspec.MsgspecError, Base64Error, ValueError, RecursionError) as error:
         return StoreUnreachable(f"malformed reply: {error}")
 
 
--- a/savoryarch/platform/_wire.py
+++ b/savoryarch/platform/_wire.py
@@ -3,6 +3,7 @@
 from savoryarch.codec import HttpReply
 from savoryarch.front import ClientAnswer, ParsedRequest, UnusableRequest
 from savoryarch.model import (
+    NO_ADVICE,
     AttemptReply,
     MalformedReply,
     Misdirected,
@@ -13,6 +14,7 @@
     Shed,
     SnapshotId,
     Target,
+    TargetAdvice,
     TargetEvidence,
 )
 from savoryarch.model.forwarding import (
@@ -30,6 +32,9 @@
 DIGEST_HEADER = "response-stamp"
 EXPECTED_TARGET_HEADER = "expect-instance"
 NOT_RUN_HEADER = "not-executed"
+# "1" in every reply of a target that leaves; it concerns the target, not the reply.
+LEAVING_HEADER = "server-leaving"
+RETRY_AFTER_HEADER = "retry-after"
 PART_DIGESTS_HEADER = "Part-Stamps"
 MISSING_PARTS_HEADER = "Missing-Parts"
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -54,6 +59,9 @@
 _MISDIRECTED_STATUS = 421
 _FIRST_ERROR_STATUS = 400
 _MS_PER_S = 1000.0
+_LEAVING = "1"
+_MAX_HOLD_MS = 3_600_000.0  # one hour; a longer pause is taken for a mistake of the target
+_SHOWN_CHARACTERS = 80  # of a value that is logged
 _IDLE_TIMEOUT_SHARE = 0.8  # of the target's idle timeout; the rest covers the network delay
 _DEFAULT_IDLE_MS = 4000.0  # for connections to targets that state no idle timeout
 
@@ -104,6 +112,17 @@
         """
         return _classify_reply(reply), (), None
 
+    def decode_advice(self, reply: HttpReply) -> TargetAdvice:
+        """Return whether the target leaves, and the pause that it asks for with a refusal."""
+        retry_after = ""
+        if reply.status == _UNAVAILABLE_STATUS:
+            retry_after = reply.header(RETRY_AFTER_HEADER).strip()
+        leaving = reply.header(LEAVING_HEADER).strip() == _LEAVING
+        if not leaving and not retry_after:
+            return NO_ADVICE
+        hold_ms, ignored = decode_retry_after(retry_after) if retry_after else (None, "")
+        return TargetAdvice(leaving, hold_ms, ignored)
+
     def encode_cancel(self, attempt_id: str, host: str) -> bytes | None:
         """Return None, because targets stop a request when its connection is closed."""
         return None
@@ -122,11 +141,34 @@
         """Return the time in milliseconds for which the connection may be reused after a reply."""
         for parameter in reply.header("keep-alive").split(","):
             name, _, value = parameter.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
+            value = value.strip()
+            if name.lower() == "timeout" and value.isascii() and value.isdigit():
                 return float(value) * _MS_PER_S * _IDLE_TIMEOUT_SHARE
         return _DEFAULT_IDLE_MS
 
 
+def decode_retry_after(text: str) -> tuple[float | None, str]:
+    """Decode the pause that a target asks for, in seconds with an optional fraction.
+
+    A date is not accepted, because the clocks of the machines differ by seconds.
+
+    Returns
+    -------
+    hold_ms : float or None
+        The pause in milliseconds, at most one hour; None if the text is no such pause.
+    ignored : str
+        What was ignored of the text, empty if nothing was.
+    """
+    shown = text[:_SHOWN_CHARACTERS]
+    is_number = text.isascii() and text.replace(".", "", 1).isdigit()
+    if not is_number:
+        return None, f"got {RETRY_AFTER_HEADER} {shown!r}, expected seconds"
+    hold_ms = float(text) * _MS_PER_S
+    if hold_ms > _MAX_HOLD_MS:
+        return _MAX_HOLD_MS, f"got {RETRY_AFTER_HEADER} {shown!r}, shortened to one hour"
+    return hold_ms, ""
+
+
 def make_target_id(name: str, born_ms: int) -> str:
     """Return the id of one start of a target, from its registered name and its start time.
 
@@ -188,7 +230,7 @@
     deadline_text = parsed.header(DEADLINE_HEADER)
     remaining_ms: float | None = None
     if deadline_text:
-        if not deadline_text.isdigit():
+        if not (deadline_text.isascii() and deadline_text.isdigit()):
             detail = f"got {DEADLINE_HEADER} {deadline_text!r}, expected whole milliseconds"
             return UnusableRequest(400, "malformed_deadline", detail)
         remaining_ms = float(deadline_text)
--- a/savoryarch/platform/tests/test_wire.py
+++ b/savoryarch/platform/tests/test_wire.py
@@ -264,3 +264,54 @@
     codec = make_entry_codec("own/")
     instance = RegisteredInstance("me", "z", "10.0.0.1", 9)
     assert codec.decode("own/me", codec.encode_instance(instance)) == instance
+
+
+HOUR_MS = 3_600_000.0
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "leaving", "hold_ms", "is_logged"),
+    [
+        (200, "", False, None, False),
+        (200, "Server-Leaving: 1\r\n", True, None, False),
+        (503, "Server-Leaving: 1\r\nNot-Executed: 1\r\n", True, None, False),
+        (500, "Server-Leaving: 1\r\n", True, None, False),
+        (200, "Server-Leaving: 0\r\n", False, None, False),
+        (503, "Retry-After: 2\r\n", False, 2000.0, False),
+        (503, "Retry-After: 0.25\r\nNot-Executed: 1\r\n", False, 250.0, False),
+        (503, "Retry-After: 0\r\n", False, 0.0, False),
+        (503, "Server-Leaving: 1\r\nRetry-After: 3\r\n", True, 3000.0, False),
+        (503, "Retry-After: 1e9\r\n", False, None, True),
+        (503, f"Retry-After: {'9' * 400}\r\n", False, HOUR_MS, True),
+        (503, "Retry-After: 7200\r\n", False, HOUR_MS, True),
+        (503, "Retry-After: -1\r\n", False, None, True),
+        (503, "Retry-After: soon\r\n", False, None, True),
+        (503, "Retry-After: nan\r\n", False, None, True),
+        (503, "Retry-After: 1.2.3\r\n", False, None, True),
+        (503, "Retry-After: \u00b2\r\n", False, None, True),
+        (503, "Retry-After: Sat, 05 Dec 2026 10:00:00 GMT\r\n", False, None, True),
+        # Only a 503 asks for a pause of the target itself.
+        (200, "Retry-After: 2\r\n", False, None, False),
+        (429, "Retry-After: 2\r\n", False, None, False),
+    ],
+)
+def test_what_a_target_states_about_itself_is_decoded(status, headers, leaving, hold_ms, is_logged):
+    reply = HttpReplyParser().feed(
+        f"HTTP/1.1 {status} X\r\n{headers}content-length: 0\r\n\r\n".encode("latin-1")
+    )[0]
+    advice = PlatformDialect().decode_advice(reply)
+    assert (advice.leaving, advice.hold_ms, bool(advice.ignored)) == (leaving, hold_ms, is_logged)
+    assert len(advice.ignored) < 200
+
+
+@pytest.mark.parametrize("deadline", ["\u00b2", "1" * 400])
+def test_an_odd_deadline_is_refused_or_bounded(deadline):
+    rows = ((b"Request-Id", b"r"), (b"Deadline-Ms", deadline.encode("latin-1")))
+    decoded = decode_request(ParsedRequest(b"GET", b"/a/", rows, b"", True))
+    assert isinstance(decoded, UnusableRequest) or decoded[1] > 0.0
+
+
+@pytest.mark.parametrize("timeout", ["\u00b2", "-1", "x", "", "9" * 400])
+def test_an_odd_idle_timeout_does_not_end_the_connection(timeout):
+    reply = HttpReply(200, b"", {"keep-alive": f"timeout={timeout}"})
+    assert PlatformDialect().max_idle_ms(reply) > 0.0
--- a/savoryarch/settings/_sections.py
+++ b/savoryarch/settings/_sections.py
@@ -3,7 +3,18 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from savoryarch.utils import NAME, PORT, URL, Boolean, IpAddress, OneOf, Text, WordList, setting
+from savoryarch.utils import (
+    NAME,
+    PORT,
+    URL,
+    Boolean,
+    IpAddress,
+    Number,
+    OneOf,
+    Text,
+    WordList,
+    setting,
+)
 
 LOOPBACK_HOST = "127.0.0.1"
 TOKEN_HASHES = WordList(r"[0-9a-f]{64}", "the token_hash that 'savoryarch token' writes")
@@ -33,6 +44,12 @@
 
     instance_id: str = setting(NAME, "name of this instance, unique among live ones")
     availability_zone: str = setting(NAME, "availability zone that it runs in")
+    memory_mb: float = setting(
+        Number(0.0, 1_000_000.0),
+        "memory that the process may use, which bounds the incomplete replies that it holds; "
+        "0 if it is not known",
+        0.0,
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/store/_client.py
+++ b/savoryarch/store/_client.py
@@ -138,16 +138,23 @@
         sent.addCallback(_read_reply)
         sent.addTimeout(timeout_s, self._reactor)
         sent.addCallback(lambda reply: self._decode(call, reply))
-        sent.addCallback(lambda decoded: self._continue_list(call, decoded, pages))
+        sent.addCallback(lambda decoded: self._continue_list(call, after_key, decoded, pages))
         sent.addErrback(_make_unreachable)
         return sent
 
     def _continue_list(
-        self, call: StoreCall, decoded: StoreReply | ListPage, pages: tuple[ListPage, ...]
+        self,
+        call: StoreCall,
+        after_key: str,
+        decoded: StoreReply | ListPage,
+        pages: tuple[ListPage, ...],
     ) -> StoreReply | Deferred[StoreReply]:
         match decoded:
-            case ListPage(after_key=after_key):
-                return self._perform(call, after_key, (*pages, decoded))
+            case ListPage(after_key=next_key) if next_key <= after_key:
+                # Without this check, a page that repeats would be requested without end.
+                return StoreUnreachable(f"page after key {after_key!r} ends at {next_key!r}")
+            case ListPage(after_key=next_key):
+                return self._perform(call, next_key, (*pages, decoded))
             case KeysListed(entries=entries) if pages:
                 # The pages are not read at one revision. The list gets the revision of the first
                 # page, so that all changes since then are read next.
--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -1,5 +1,6 @@
 """Targets: which are live, which snapshots they serve, and how much of each may be used."""
 
+from savoryarch.targets._advice import may_probe
 from savoryarch.targets._attempts import (
     end_attempt,
     record_overdue,
@@ -11,6 +12,7 @@
     choose_trial_target,
     has_capacity,
     has_serving_target,
+    pause_ends_at_ms,
 )
 from savoryarch.targets._decide import decide_targets
 from savoryarch.targets._limits import (
@@ -19,6 +21,7 @@
     is_slow,
     ready_connections,
 )
+from savoryarch.targets._messages import TargetLeaving
 from savoryarch.targets._settings import (
     ChoicePolicy,
     LeastExpectedLatency,
@@ -40,6 +43,7 @@
     "LeastExpectedLatency",
     "RoundRobin",
     "ServiceRecord",
+    "TargetLeaving",
     "TargetRecord",
     "TargetUsage",
     "TargetsSettings",
@@ -54,6 +58,8 @@
     "in_flight_limit",
     "is_slow",
     "make_targets_state",
+    "may_probe",
+    "pause_ends_at_ms",
     "ready_connections",
     "record_overdue",
     "record_unserved_snapshot",
--- a/savoryarch/targets/_attempts.py
+++ b/savoryarch/targets/_attempts.py
@@ -161,6 +161,8 @@
             state = _record_success(state, record, latency_ms, now_ms)
         case TimedOut() | DeadlinePassed() | Cancelled():
             state = _record_censored(state, record, latency_ms, now_ms)
+        case MalformedReply() | TargetFailed():
+            state = _record_failure(state, record, now_ms)
         case Shed(retry_after_ms=retry_after_ms):
             state = _record_shed(state, record, retry_after_ms, now_ms)
         case _:
@@ -245,6 +247,8 @@
     instance are taken to be used by other instances.
     """
     usage = _released_usage(state, record)
+    if now_ms < record.held_until_ms:
+        return _put_usage(state, record, usage)  # The target asked for a pause; it does not fail.
     others_in_flight = float(max(0, record.slots - usage.in_flight))
     median_ms = state.services[record.target.service].latency_histogram.median_ms
     usage = replace(
--- a/savoryarch/targets/_choose.py
+++ b/savoryarch/targets/_choose.py
@@ -122,7 +122,11 @@
 
 
 def has_serving_target(
-    state: TargetsState, service: str, exclude: frozenset[str], snapshot: SnapshotId | None
+    state: TargetsState,
+    service: str,
+    exclude: frozenset[str],
+    snapshot: SnapshotId | None,
+    usable_by_ms: float = float("inf"),
 ) -> bool:
     """Return whether a target serves a snapshot, with or without capacity now.
 
@@ -136,17 +140,33 @@
         Ids of targets that do not count.
     snapshot : SnapshotId or None
         The snapshot; None if any will do.
+    usable_by_ms : float
+        A target that asked for a pause counts only if the pause ends by this time.
     """
     service_record = state.services.get(service)
     if service_record is None:
         return False
     records = [state.records[name] for name in service_record.target_ids if name not in exclude]
     return any(
-        may_serve(record) and (snapshot is None or snapshot in record.snapshots)
+        may_serve(record)
+        and record.held_until_ms <= usable_by_ms
+        and (snapshot is None or snapshot in record.snapshots)
         for record in records
     )
 
 
+def pause_ends_at_ms(state: TargetsState, service: str) -> float:
+    """Return when the first target of a service takes requests again, if all asked for a pause.
+
+    The time has passed if a target did not ask for one. It is infinite if no target serves.
+    """
+    service_record = state.services.get(service)
+    records = [state.records[name] for name in service_record.target_ids] if service_record else []
+    return min(
+        (record.held_until_ms for record in records if may_serve(record)), default=float("inf")
+    )
+
+
 def _is_usable(record: TargetRecord, snapshot: SnapshotId | None) -> bool:
     return record.chart_state == LIVE and (snapshot is None or snapshot in record.snapshots)
 
--- a/savoryarch/targets/_decide.py
+++ b/savoryarch/targets/_decide.py
@@ -11,21 +11,27 @@
     LimitConnections,
     ListedInstance,
     ListedState,
+    LogEvent,
     OpenConnections,
+    PeerMessageReceived,
     PeersChanged,
     ProbeTarget,
     Service,
     SetTimer,
     SnapshotId,
     Target,
+    TargetAdvised,
     TargetEvidence,
     TargetEvidenceReceived,
     TimerFired,
 )
+from savoryarch.targets._advice import apply_advice, apply_leaving, may_probe
 from savoryarch.targets._limits import connection_share, initial_limit, ready_connections
+from savoryarch.targets._messages import TargetLeaving
 from savoryarch.targets._state import ServiceRecord, TargetRecord, TargetsState, TargetUsage
 from savoryarch.targets._target_chart import (
     DRAINING,
+    LEAVING,
     LIVE,
     SteppedTargets,
     may_serve,
@@ -63,6 +69,12 @@
             return _apply_declarations(state, declarations, now_ms)
         case TargetEvidenceReceived():
             return _apply_evidence(state, event, now_ms)
+        case TargetAdvised(target_id=target_id, advice=advice):
+            return apply_advice(state, target_id, advice, now_ms)
+        case PeerMessageReceived(message=TargetLeaving(target_id=target_id)) if (
+            target_id not in state.leaving
+        ):
+            return _apply_leaving_message(state, target_id, now_ms)
         case InstancesListed(instances=instances):
             return _apply_instance_list(state, instances, now_ms)
         case PeersChanged(live=live):
@@ -90,7 +102,7 @@
             records = records.set(target.target_id, record)
             usages = usages.set(target.target_id, _declared_usage(state, service, target))
             if state.records.get(target.target_id) != record:
-                effects += _connection_effects(state, record)
+                effects += _connection_effects(state, record, now_ms)
         services = services.set(service.name, _declared_service(state, service, records))
     removed = sorted(target_id for target_id in state.records if target_id not in records)
     effects += [LimitConnections(target_id, 0) for target_id in removed]
@@ -115,7 +127,7 @@
             target=target,
             slots=service.slots,
             max_connections=max_connections,
-            chart_state="unproven",
+            chart_state=LEAVING if target.target_id in state.leaving else "unproven",
         )
     return replace(previous, slots=service.slots, max_connections=max_connections)
 
@@ -148,9 +160,14 @@
     return replace(previous, target_ids=target_ids, replica_counts=Map(replica_counts))
 
 
-def _connection_effects(state: TargetsState, record: TargetRecord) -> tuple[object, ...]:
+def _connection_effects(
+    state: TargetsState, record: TargetRecord, now_ms: float
+) -> tuple[object, ...]:
     """Return the effects that limit and open the connections to a target, and probe it."""
     target_id = record.target.target_id
+    if not may_probe(record, now_ms):
+        limit = 0 if record.chart_state == LEAVING else record.max_connections
+        return (LimitConnections(target_id, limit),)
     ready_count = ready_connections(record.max_connections, state.settings)
     return (
         LimitConnections(target_id, record.max_connections),
@@ -159,6 +176,15 @@
     )
 
 
+def _apply_leaving_message(
+    state: TargetsState, target_id: str, now_ms: float
+) -> Decided[TargetsState]:
+    """Apply the message of a peer that a target leaves."""
+    left = apply_leaving(state, target_id, now_ms)
+    log = LogEvent("target_leaving", (("target", target_id), ("source", "peer")))
+    return Decided(left.state, (log, *left.effects))
+
+
 def _apply_evidence(
     state: TargetsState, event: TargetEvidenceReceived, now_ms: float
 ) -> Decided[TargetsState]:
@@ -248,7 +274,7 @@
             )
             state = decided.state
             effects += decided.effects
-        elif row is None and record.listed:
+        elif row is None and record.listed and may_probe(record, now_ms):
             effects.append(ProbeTarget(target_id))
         if (row is not None) != record.listed:
             record = replace(state.records[target_id], listed=row is not None)
@@ -267,7 +293,7 @@
     state = replace(state, max_listed_instances=count)
     for target_id, record in sorted_items(state.records):
         max_connections = _connection_share(state, state.declared_services[record.target.service])
-        if max_connections != record.max_connections:
+        if max_connections != record.max_connections and record.chart_state != LEAVING:
             record = replace(record, max_connections=max_connections)
             state = replace(state, records=state.records.set(target_id, record))
             effects.append(LimitConnections(target_id, max_connections))
@@ -284,6 +310,8 @@
     settings = state.settings
     effects: list[object] = []
     for target_id, record in sorted_items(state.records):
+        if not may_probe(record, now_ms):
+            continue
         silent_ms = now_ms - max(
             state.usages[target_id].last_replied_at_ms, record.last_positive_evidence_at_ms
         )
--- a/savoryarch/targets/_limits.py
+++ b/savoryarch/targets/_limits.py
@@ -61,7 +61,8 @@
 def in_flight_limit(record: TargetRecord, usage: TargetUsage, now_ms: float) -> int:
     """Return how many attempts this instance may have in flight at a target now.
 
-    Zero while the target is paused after a shed, and at most one while it warms up or is slow.
+    Zero while the target is paused after a shed or asked for a pause, and at most one while it
+    warms up or is slow.
 
     Parameters
     ----------
@@ -72,7 +73,7 @@
     now_ms : float
         Current time, on the clock of the process.
     """
-    if now_ms < record.paused_until_ms:
+    if now_ms < record.paused_until_ms or now_ms < record.held_until_ms:
         return 0
     if now_ms < record.warm_up_ends_at_ms or is_slow(usage):
         return min(1, record.max_connections)
--- a/savoryarch/targets/_state.py
+++ b/savoryarch/targets/_state.py
@@ -25,6 +25,8 @@
         State in the chart ``target``.
     paused_until_ms : float
         The target gets no new attempts until then, because it shed one.
+    held_until_ms : float
+        The target gets no requests and no probes until then, because it asked for that.
     warm_up_ends_at_ms : float
         Until then, it gets one attempt of this instance at a time.
     last_negative_evidence_at_ms : float
@@ -45,6 +47,7 @@
     max_connections: int
     chart_state: str
     paused_until_ms: float = 0.0
+    held_until_ms: float = 0.0
     warm_up_ends_at_ms: float = 0.0
     last_negative_evidence_at_ms: float = float("-inf")
     last_positive_evidence_at_ms: float = float("-inf")
@@ -135,6 +138,9 @@
         `ServiceRecord` by service.
     declared_services : Map
         Services as declared, by name.
+    leaving : Map
+        Time at which a target was first known to leave, by target id. Such a target gets nothing
+        more, also if it is declared again.
     snapshots_revision : int
         Ascends when the declarations or the snapshots of a target change; results that depend on
         them are reused while it is unchanged.
@@ -150,6 +156,7 @@
     usages: Map[str, TargetUsage] = field(default_factory=Map)
     services: Map[str, ServiceRecord] = field(default_factory=Map)
     declared_services: Map[str, Service] = field(default_factory=Map)
+    leaving: Map[str, float] = field(default_factory=Map)
     snapshots_revision: int = 0
     live_instances: int = 1
     max_listed_instances: int = 1
--- a/savoryarch/targets/_target_chart.py
+++ b/savoryarch/targets/_target_chart.py
@@ -13,6 +13,7 @@
 LIVE = "live"
 SUSPECTED = "suspected"
 DRAINING = "draining"
+LEAVING = "leaving"
 
 CHART = load_chart("target", frozenset({"start_warm_up", "record_negative_evidence", "probe"}))
 
@@ -64,7 +65,7 @@
     effects: list[object] = []
     for action in transition.actions:
         record = _update_record(state, record, action, now_ms)
-        if action == "probe":
+        if action == "probe" and now_ms >= record.held_until_ms:
             effects.append(ProbeTarget(target_id))
         if action == "start_warm_up":
             usage = replace(state.usages[target_id], limit=MIN_LIMIT)
--- a/savoryarch/tier/_decide.py
+++ b/savoryarch/tier/_decide.py
@@ -20,6 +20,7 @@
     SearchRequested,
     StatusRequested,
     StoreReplied,
+    TargetAdvised,
     TargetEvidenceReceived,
     TimerFired,
     UnfinishedRequestsChanged,
@@ -113,6 +114,8 @@
                 _dispatch_to_orders,
                 _dispatch_to_forwarding,
             )
+        case TargetAdvised():
+            return (_dispatch_to_targets, _dispatch_to_forwarding)
         case UnfinishedRequestsChanged():
             return (_dispatch_to_shutdown,)
         case _:
--- a/savoryarch/tier/_messages.py
+++ b/savoryarch/tier/_messages.py
@@ -2,10 +2,12 @@
 
 from savoryarch.discovery import StoreRevisionAdvanced
 from savoryarch.quarantine import CrashReported, QuarantineDeclared, ReplyReported
+from savoryarch.targets import TargetLeaving
 
 COMPONENT_MESSAGES: tuple[type, ...] = (
     CrashReported,
     QuarantineDeclared,
     ReplyReported,
     StoreRevisionAdvanced,
+    TargetLeaving,
 )
--- a/tests/outer_bytes.py
+++ b/tests/outer_bytes.py
@@ -30,7 +30,7 @@
 from savoryarch.codec.tests.outer_examples import CODEC, make_examples
 from savoryarch.configuration import WatchedChanges
 from savoryarch.discovery import StoreEntryCodec
-from savoryarch.forwarding._sub_requests import _reply_label
+from savoryarch.forwarding._attempt_logs import reply_label
 from savoryarch.front import ParsedRequest
 from savoryarch.model import RefusalReason, Refused, SnapshotId, Target
 from savoryarch.model.forwarding import (
@@ -181,7 +181,7 @@
     members: Iterable[type] = get_args(model.AttemptReply)
     for reply in _examples(*members):
         name = CODEC.encode_plain(reply)["type"]
-        yield f"{name} forwarding={_reply_label(reply)} orders={_reply_detail(reply)}"
+        yield f"{name} forwarding={reply_label(reply)} orders={_reply_detail(reply)}"
 
 
 def _format_values(value: object) -> str:
