--- a/savoryarch/codec/_target_http.py
+++ b/savoryarch/codec/_target_http.py
@@ -123,7 +123,7 @@
     try:
         snapshots = _parse_snapshots(reply.header("x-snapshots"))
         decoded = _decode_body(reply, request)
-    except (DecodeError, ValueError) as error:
+    except (DecodeError, ValueError, RecursionError) as error:
         return MalformedReply(str(error)), (), None
     return decoded, snapshots, _parse_load(reply.header("x-load"))
 
@@ -141,7 +141,7 @@
     try:
         health = json.decode(reply.body, type=_HealthBody)
         snapshots = _parse_snapshots(reply.header("x-snapshots"))
-    except (DecodeError, ValueError):
+    except (DecodeError, ValueError, RecursionError):
         return TargetEvidence.PROBE_FAILED, ()
     match (reply.status, health.state):
         case (200, "draining"):
@@ -181,7 +181,7 @@
     # request may have run.
     try:
         return json.decode(reply.body, type=_RefusalBody)
-    except DecodeError:
+    except (DecodeError, RecursionError):
         return _RefusalBody()
 
 
--- a/savoryarch/orders/_bucket_codec.py
+++ b/savoryarch/orders/_bucket_codec.py
@@ -42,7 +42,7 @@
     """
     try:
         version, dropped_through_ms, rows = _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError(f"bucket value is malformed: {error}") from error
     if version != _VERSION:
         raise CodecError(f"bucket value has version {version}, expected {_VERSION}")
--- a/savoryarch/orders/_key.py
+++ b/savoryarch/orders/_key.py
@@ -10,6 +10,7 @@
 
 CREATED_HEADER = "x-order-created-ms"
 MAX_KEY_BYTES = 512
+_MAX_TIME_DIGITS = 15  # of a time in milliseconds, far beyond any real one
 _TIME_ORDERED_UUID_VERSION = 7
 
 
@@ -78,7 +79,7 @@
         Milliseconds since the Unix epoch; None if the request has neither.
     """
     text = headers.get(CREATED_HEADER, "")
-    if text.isascii() and text.isdigit():
+    if text.isascii() and text.isdigit() and len(text) <= _MAX_TIME_DIGITS:
         return int(text)
     try:
         uuid = UUID(key)
@@ -91,7 +92,7 @@
 def _extract_field_key(field_path: str, body: bytes) -> KeyFound | KeyNotFound:
     try:
         value = msgspec.json.decode(body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return KeyNotFound(f"the body is not JSON: {error}")
     for name in field_path.split("."):
         if not isinstance(value, dict) or name not in value:
--- a/savoryarch/resources/_record.py
+++ b/savoryarch/resources/_record.py
@@ -195,7 +195,7 @@
     try:
         text = decompressor.decompress(data, MAX_DECODED_BYTES)
         return decode(text) if decompressor.eof else None
-    except (zlib.error, DecodeError, UnicodeDecodeError):
+    except (zlib.error, DecodeError, UnicodeDecodeError, RecursionError):
         return None
 
 
--- a/savoryarch_soak/_checks.py
+++ b/savoryarch_soak/_checks.py
@@ -5,15 +5,10 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from savoryarch_soak._advice_checks import check_leaving, check_pauses
 from savoryarch_soak._clients import CLIENT_DEADLINE_MS
-from savoryarch_soak._faults import (
-    BreakLink,
-    BreakStore,
-    DriveTarget,
-    FreezeInstance,
-    KillInstance,
-    StopInstance,
-)
+from savoryarch_soak._fault_times import has_instance_fault, has_propagation_fault
+from savoryarch_soak._faults import BreakLink, BreakStore, DriveTarget, FreezeInstance
 from savoryarch_soak._journal import Exchange, Journal, TableWritten
 from savoryarch_soak._plan import service_names
 from savoryarch_standins.forwarded import (
@@ -162,7 +157,9 @@
 def check_deadlines(journal: Journal) -> Iterable[str]:
     """Check that a running instance answers or refuses by the client's deadline."""
     for exchange in journal.exchanges:
-        if _has_instance_fault(journal, exchange):
+        if has_instance_fault(
+            journal, exchange.instance, exchange.sent_at_ms, exchange.ended_at_ms
+        ):
             continue
         took_ms = exchange.ended_at_ms - exchange.sent_at_ms
         is_late = exchange.failure == "late" or took_ms > CLIENT_DEADLINE_MS + REPLY_MARGIN_MS
@@ -238,7 +235,7 @@
         if age_ms <= CONFIGURATION_DEADLINE_MS:
             continue
         from_ms = min(table.at_ms, exchange.sent_at_ms - FAULT_FREE_MS)
-        if not _has_propagation_fault(journal, exchange.instance, from_ms, exchange.ended_at_ms):
+        if not has_propagation_fault(journal, exchange.instance, from_ms, exchange.ended_at_ms):
             required_version = max(required_version, table.version)
     return required_version
 
@@ -355,31 +352,6 @@
         )
 
 
-def _has_instance_fault(journal: Journal, exchange: Exchange) -> bool:
-    """Return whether the instance was stopped, frozen or killed during an exchange."""
-    return any(
-        isinstance(item.fault, KillInstance | StopInstance | FreezeInstance)
-        and item.fault.instance == exchange.instance
-        and item.from_ms <= exchange.ended_at_ms
-        and item.to_ms >= exchange.sent_at_ms
-        for item in journal.injected
-    )
-
-
-def _has_propagation_fault(journal: Journal, instance: int, from_ms: float, to_ms: float) -> bool:
-    """Return whether a fault could keep an instance from reading changes in an interval."""
-    for item in journal.injected:
-        if item.from_ms > to_ms or item.to_ms < from_ms:
-            continue
-        match item.fault:
-            case BreakStore() | BreakLink():
-                return True
-            case KillInstance() | StopInstance() | FreezeInstance() as fault:
-                if fault.instance == instance:
-                    return True
-    return False
-
-
 # The report names the promises by these keys.
 PROMISES: dict[str, Callable[[Journal], Iterable[str]]] = {
     "refused means not run": check_refusals,
@@ -390,6 +362,8 @@
     "extra requests within the budget": check_budget,
     "connections within the limit": check_connections,
     "draining targets get no new work": check_draining,
+    "targets that say they leave get nothing more": check_leaving,
+    "targets that ask for a pause get it": check_pauses,
     "planned stops cut nothing": check_stops,
     "no instance ends by itself": check_exits,
     "recovers after trouble": check_recovery,
--- a/savoryarch_soak/_plan.py
+++ b/savoryarch_soak/_plan.py
@@ -53,6 +53,9 @@
     ("silent_share", 0.2),
     ("drop_idle_ms", 40.0),
 )
+_PAUSE_SWITCHES = (("refuse_share", 0.3), ("hold_ms", 1500.0))
+MEAN_ADVICE_INTERVAL_MS = 3000.0
+LEAVE_MS = 6000.0  # twice the time after which a leaving target must get nothing more
 _LINK_MODES = ("delay", "reset", "mute_to", "mute_from", "silence")
 
 
@@ -109,10 +112,33 @@
                 _draw_fault(rng, kind_number, rounded_start_ms, duration_ms, instances, length_ms)
             )
         at_ms += rng.exponential(MEAN_FAULT_INTERVAL_MS)
+    faults += _draw_advice(seed, length_ms)
     ordered = tuple(sorted(faults, key=lambda fault: fault.at_ms))
     return SoakPlan(seed, length_ms, instances, requests_per_s, ordered)
 
 
+def _draw_advice(seed: int, length_ms: float) -> list[Fault]:
+    """Return targets that say that they leave, and refusals that ask for a pause.
+
+    They have a generator of their own, so that the other faults of a seed stay as they were.
+    """
+    rng = default_rng([seed, 1])
+    faults: list[Fault] = []
+    at_ms = WARM_UP_MS
+    while at_ms < length_ms - RECOVERY_MS:
+        remaining_ms = length_ms - RECOVERY_MS - at_ms
+        # Only targets of the first replica leave, so that each service keeps targets.
+        target = int(rng.integers(0, len(service_names())))
+        leave_ms = min(LEAVE_MS, remaining_ms)
+        faults.append(DriveTarget(round(at_ms), round(leave_ms), target, "leave", "restart"))
+        pause_at_ms = at_ms + rng.uniform(0.0, MEAN_ADVICE_INTERVAL_MS / 2.0)
+        pause_ms = max(0.0, min(MAX_FAULT_MS, length_ms - RECOVERY_MS - pause_at_ms))
+        process = int(rng.integers(0, REPLICAS))
+        faults.append(BreakTargets(round(pause_at_ms), round(pause_ms), process, _PAUSE_SWITCHES))
+        at_ms += rng.exponential(MEAN_ADVICE_INTERVAL_MS)
+    return faults
+
+
 def _draw_fault(
     rng: Generator, kind_number: int, at_ms: float, for_ms: float, instances: int, length_ms: float
 ) -> Fault:
--- a/savoryarch_soak/_small_deployment.py
+++ b/savoryarch_soak/_small_deployment.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from threading import Event
 
+import msgspec
 import requests
 
 from savoryarch.model import SwapKey
@@ -17,6 +18,7 @@
 )
 from savoryarch_soak._instances import find_free_addresses, render_settings
 from savoryarch_soak._route_table import make_route_table
+from savoryarch_standins.forwarded import Arrival
 from savoryarch_standins.harness import Address, ManagedProcess, start_process
 
 SHARDS = tuple(f"shard-{number}" for number in range(10))
@@ -47,6 +49,10 @@
     digests: tuple[str, ...]
 
 
+class _ArrivalsPage(msgspec.Struct):
+    arrivals: list[Arrival]
+
+
 class SmallDeployment:
     """A store, targets and an entry instance, in processes of their own.
 
@@ -68,14 +74,14 @@
             store = self._start("store", ["-m", "savoryarch_standins.store"])
             self._store = store.address()
             url = f"http://{self._store}"
+            self._controls: list[str] = []
             for replica in range(REPLICAS):
                 target_specs = ",".join(f"{name}-{replica}:{name}:0" for name in SERVICES)
                 arguments = ["-m", "savoryarch_standins.forwarded", "--store", url]
-                self._start(f"targets-{replica}", [*arguments, "--targets", target_specs])
-            swap = SwapKey("table", CONFIGURATION_KEY, make_route_table(1, SHARDS, ROUTE_HOST), 0)
-            call = encode_store_call(swap, "")
-            reply = requests.post(url + call.path, data=call.body, timeout=HTTP_TIMEOUT_S)
-            reply.raise_for_status()
+                targets = self._start(f"targets-{replica}", [*arguments, "--targets", target_specs])
+                fields = targets.ready_fields
+                self._controls.append(f"http://{fields['host']}:{fields['control']}")
+            self.write_entry(CONFIGURATION_KEY, make_route_table(1, SHARDS, ROUTE_HOST))
         except BaseException:
             self.__exit__()
             raise
@@ -106,6 +112,30 @@
         entry = self._start(f"entry-{level}", arguments)
         return entry, _connect_when_serving(addresses[0])
 
+    def write_entry(self, key: str, value: bytes) -> None:
+        """Write a new entry into the store."""
+        call = encode_store_call(SwapKey("write", key, value, 0), "")
+        url = f"http://{self._store}{call.path}"
+        requests.post(url, data=call.body, timeout=HTTP_TIMEOUT_S).raise_for_status()
+
+    def drive_target(self, replica: int, name: str, event: str) -> None:
+        """Trigger an event of the chart ``forwarded_target`` for a target of one replica."""
+        url = f"{self._controls[replica]}/drive/{name}/{event}"
+        requests.post(url, timeout=HTTP_TIMEOUT_S).raise_for_status()
+
+    def set_switches(self, replica: int, **switches: float) -> None:
+        """Replace the `TargetSwitches` of all targets of one replica."""
+        url = f"{self._controls[replica]}/switches"
+        requests.post(url, json=switches, timeout=HTTP_TIMEOUT_S).raise_for_status()
+
+    def read_arrivals(self) -> list[Arrival]:
+        """Return the requests that reached the targets, in the order of their times."""
+        arrivals: list[Arrival] = []
+        for control in self._controls:
+            reply = requests.get(f"{control}/arrivals", timeout=HTTP_TIMEOUT_S)
+            arrivals += msgspec.json.decode(reply.content, type=_ArrivalsPage).arrivals
+        return sorted(arrivals, key=lambda item: item.at_ms)
+
     def _start(self, name: str, arguments: list[str]) -> ManagedProcess:
         process = start_process(name, arguments, self._folder)
         self._started.append(process)
--- a/savoryarch_soak/tests/test_checks.py
+++ b/savoryarch_soak/tests/test_checks.py
@@ -9,6 +9,7 @@
 
 from savoryarch_soak._checks import PROMISES, check_journal
 from savoryarch_soak._faults import (
+    BreakLink,
     BreakStore,
     DriveTarget,
     FreezeInstance,
@@ -57,8 +58,22 @@
     return make_exchange(number, "find", **values)
 
 
-def make_arrival(number=1, service="shop", at_ms=1001.0, ran=True, draining=False):
-    return Arrival(at_ms, f"{service}-0", service, f"r{number}", ran, draining)
+def make_arrival(number=1, service="shop", at_ms=1001.0, ran=True, draining=False, **fields):
+    return Arrival(at_ms, f"{service}-0", service, f"r{number}", ran, draining, **fields)
+
+
+def make_told_journal(*sent_ms, injected=(), **arrival_fields):
+    """Return a journal of reads that are sent at these times and reach one target."""
+    exchanges = [make_exchange(n, sent_at_ms=at_ms) for n, at_ms in enumerate(sent_ms)]
+    arrivals = [
+        make_arrival(n, at_ms=at_ms + 1.0, **arrival_fields) for n, at_ms in enumerate(sent_ms)
+    ]
+    return make_journal(exchanges, arrivals, injected)
+
+
+FROZEN = InjectedFault(FreezeInstance(1500.0, 0, 500.0), 1500.0, 2000.0)
+OTHER_FROZEN = InjectedFault(FreezeInstance(1500.0, 1, 500.0), 1500.0, 2000.0)
+LINK_RESET = InjectedFault(BreakLink(1500.0, 100.0, 0, "reset"), 1500.0, 1600.0)
 
 
 def make_journal(exchanges=(), arrivals=(), injected=(), exits=(), **fields):
@@ -91,6 +106,27 @@
         # A read is idempotent and may run twice.
         ("", make_journal([make_exchange()], [make_arrival()] * 2)),
         ("answers are whole and own", make_journal([make_exchange(body=b"x")])),
+        ("", make_told_journal(1000.0, 3900.0, leaving=True)),
+        (
+            "targets that say they leave get nothing more",
+            make_told_journal(1000.0, 4100.0, leaving=True),
+        ),
+        ("", make_told_journal(1000.0, 4100.0, leaving=True, injected=[FROZEN])),
+        (
+            "targets that say they leave get nothing more",
+            make_told_journal(1000.0, 4100.0, leaving=True, injected=[OTHER_FROZEN]),
+        ),
+        ("", make_told_journal(1000.0, 1400.0, 2450.0, 2460.0, hold_ms=1500.0)),
+        (
+            "targets that ask for a pause get it",
+            make_told_journal(1000.0, 1600.0, 1700.0, 1800.0, hold_ms=1500.0),
+        ),
+        (
+            "",
+            make_told_journal(
+                1000.0, 1600.0, 1700.0, 1800.0, hold_ms=1500.0, injected=[LINK_RESET]
+            ),
+        ),
         # The set NEW has 6 shards, of which the minimum coverage needs 5; missing ones are counted.
         ("", make_journal([make_search_exchange()])),
         ("", make_journal([make_search_exchange(shards=NEW[1:], missing=1)])),
--- a/savoryarch_standins/forwarded/_model.py
+++ b/savoryarch_standins/forwarded/_model.py
@@ -35,6 +35,8 @@
         Service time of each request.
     refuse_share : float
         Share of requests that are refused without running.
+    hold_ms : float
+        Pause that a refusal asks for.
     fail_share : float
         Share of requests that run and get a reply with status 500.
     garble_share : float
@@ -54,6 +56,7 @@
 
     work_ms: float = 4.0
     refuse_share: float = 0.0
+    hold_ms: float = 50.0
     fail_share: float = 0.0
     garble_share: float = 0.0
     double_share: float = 0.0
@@ -81,6 +84,10 @@
         Whether the target ran it, at least in part.
     draining : bool
         Whether the target was registered as draining.
+    leaving : bool
+        Whether the reply says that the target leaves.
+    hold_ms : float
+        Pause that the reply asks for; 0 if the request was not refused.
     """
 
     at_ms: float
@@ -89,6 +96,8 @@
     request_id: str
     ran: bool
     draining: bool
+    leaving: bool = False
+    hold_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch_standins/forwarded/_server.py
+++ b/savoryarch_standins/forwarded/_server.py
@@ -25,6 +25,7 @@
     "forwarded_target.ini",
     ACTIONS,
 )
+LEAVING = "leaving"  # state in the chart
 MAX_RUNNING_PER_SLOT = 2  # a target refuses requests while this many are running for each slot
 _DRAW_RANGE = 1 << 32
 _MS_PER_S = 1000.0
@@ -123,6 +124,7 @@
             return
         is_full = self.state.running_count >= MAX_RUNNING_PER_SLOT * plan.slots
         is_refused = is_full or self._draw_uniform() < switches.refuse_share
+        leaving = self.state.chart_state == LEAVING
         self._record_arrival(
             Arrival(
                 at_ms=self._clock.now_ms(),
@@ -131,10 +133,15 @@
                 request_id=headers.request_id,
                 ran=not is_refused,
                 draining=self.state.chart_state == "draining",
+                leaving=leaving,
+                hold_ms=switches.hold_ms if is_refused else 0.0,
             )
         )
         if is_refused:
-            connection.send_reply(encode_reply(TargetReply(503, headers.request_id, not_run=True)))
+            refusal = TargetReply(
+                503, headers.request_id, not_run=True, hold_ms=switches.hold_ms, leaving=leaving
+            )
+            connection.send_reply(encode_reply(refusal))
             return
         if switches.crash_word and switches.crash_word.encode() in parsed.path:
             self.step_chart("crash")
@@ -150,7 +157,8 @@
         self.state = replace(self.state, running_count=self.state.running_count - 1)
         switches, service = self.switches, self.state.plan.service
         body = make_target_body(service, request_id)
-        reply = TargetReply(200, request_id, body, make_digest(service, request_id, body))
+        digest, leaving = make_digest(service, request_id, body), self.state.chart_state == LEAVING
+        reply = TargetReply(200, request_id, body, digest, leaving=leaving)
         if self._draw_uniform() < switches.silent_share:
             return
         if self._draw_uniform() < switches.fail_share:
--- a/savoryarch_standins/forwarded/_wire.py
+++ b/savoryarch_standins/forwarded/_wire.py
@@ -7,8 +7,10 @@
 from savoryarch.platform import (
     DIGEST_HEADER,
     EXPECTED_TARGET_HEADER,
+    LEAVING_HEADER,
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
+    RETRY_AFTER_HEADER,
 )
 
 IDLE_TIMEOUT_S = 5  # announced in each reply, but not enforced
@@ -24,13 +26,19 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetReply:
-    """A reply of a target; `not_run` says that the request was refused before it ran."""
+    """A reply of a target.
+
+    `not_run` says that the request was refused before it ran, and `hold_ms` for how long the target
+    wants no further one; `leaving` says that the target leaves.
+    """
 
     status: int
     request_id: str
     body: bytes = b""
     digest: str = ""
     not_run: bool = False
+    hold_ms: float = 0.0
+    leaving: bool = False
 
 
 def read_request_headers(parsed: ParsedRequest) -> RequestHeaders:
@@ -49,5 +57,7 @@
     if reply.digest:
         lines.append(f"{DIGEST_HEADER}: {reply.digest}")
     if reply.not_run:
-        lines += [f"{NOT_RUN_HEADER}: 1", "retry-after: 0.05"]
+        lines += [f"{NOT_RUN_HEADER}: 1", f"{RETRY_AFTER_HEADER}: {reply.hold_ms / 1000.0:.3f}"]
+    if reply.leaving:
+        lines.append(f"{LEAVING_HEADER}: 1")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + reply.body
