Search: resend a part that a draining target refused without a budget; tests: unique order keys

Cause of the known red (a part left out, reason refused, while a target drains): a refusal of a draining target was retried from the budget of extra attempts, although nothing of it had run; after tests with many hedges the budget is empty, and the part was left out. A shed had been resent freely all along.

Cause of the two orders of a planned stop with "no recorded outcome": the keys of the test's callers were made from id(self), which a later object may have again. Two callers send orders, and a kill in an earlier test of the same session leaves one open claim for each; the answer to the same keys, sent again under load of a planned stop, is true. Ruled out: an order cut by the stop, since no instance cuts one in any run, and a second claim by one order, which is made once. Change: keys from a UUID.

--- a/savoryarch/search/_attempt_chart.py
+++ b/savoryarch/search/_attempt_chart.py
@@ -8,6 +8,7 @@
     AttemptEnded,
     ConnectionLost,
     Count,
+    Draining,
     LeftOutReason,
     LogEvent,
     MalformedReply,
@@ -54,7 +55,9 @@
 
 # Reasons of extra sub-requests that spend no budget, since nothing of the earlier attempt has run.
 _SHED_REASON = "shed"
+_DRAINING_REASON = "draining"
 _WAITED_REASON = "waited"
+_FREE_REASONS = (_SHED_REASON, _DRAINING_REASON, _WAITED_REASON)  # nothing of the attempt has run
 
 
 def step_attempt(context: DecisionContext, attempt: Attempt, event: str) -> DecisionContext:
@@ -188,8 +191,13 @@
     answer_at_ms = context.query.deadline_at_ms - context.state.settings.answer_margin_ms
     if reason is LeftOutReason.LATE or context.now_ms >= answer_at_ms:
         return check_completion(leave_out(context, attempt.service, reason))
-    if isinstance(ended.reply, Shed):
-        return _retry_shed(context, attempt.service, shard)
+    match ended.reply:
+        case Shed():
+            return _resend_unrun(context, attempt.service, shard, _SHED_REASON)
+        case Draining() if has_serving_target(
+            context.targets, attempt.service, shard.attempted_target_ids, context.query.snapshot
+        ):
+            return _resend_unrun(context, attempt.service, shard, _DRAINING_REASON)
     return check_completion(_retry(context, attempt.service, shard, reason))
 
 
@@ -255,16 +263,19 @@
             return context
 
 
-def _retry_shed(context: DecisionContext, service: str, shard: PendingShard) -> DecisionContext:
-    """Send a shard that was shed to another replica, or wait until the pause of a target ends.
+def _resend_unrun(
+    context: DecisionContext, service: str, shard: PendingShard, reason: str
+) -> DecisionContext:
+    """Send a shard that a target refused to another replica, or wait until one has capacity.
 
     This spends no budget, since nothing has run. It cannot repeat without end: a target that shed
-    is paused, so that each replica gets the shard once before it waits.
+    is paused and one that drains gets no more, so that each replica gets the shard once before it
+    waits.
     """
     target_id = choose_attempt_target(context, service, shard.attempted_target_ids)
     if target_id is None:
         return wait_for_capacity(context, service, shard)
-    return _send_retry(context, service, shard, target_id, _SHED_REASON)
+    return _send_retry(context, service, shard, target_id, reason)
 
 
 def _retry(
@@ -301,7 +312,7 @@
 ) -> DecisionContext:
     """Send a further attempt of a shard, and count it by its reason."""
     context = count_extra(context, reason)
-    if reason in (_SHED_REASON, _WAITED_REASON):
+    if reason in _FREE_REASONS:
         return send_attempt(context, service, shard, target_id, Purpose.RESEND)
     shard = replace(shard, retries=shard.retries + 1)
     return send_attempt(context, service, shard, target_id, Purpose.RETRY)
--- a/savoryarch/search/tests/test_failures.py
+++ b/savoryarch/search/tests/test_failures.py
@@ -20,6 +20,7 @@
     TargetFailed,
 )
 from savoryarch.quarantine import QuarantineSettings
+from savoryarch.search import BudgetedRetries, SearchSettings
 from savoryarch.search.tests.driver import NEW, OLD, Driver, make_declarations, return_part
 
 FROZEN_MS = 1e9
@@ -77,6 +78,22 @@
     assert set(driver.in_flight().values()) == {0}
 
 
+@pytest.mark.parametrize(
+    ("reply", "answered"),
+    [(Draining(), 3), (Shed(None), 3), (Shed(20.0), 3), (ConnectionLost("reset"), 2)],
+)
+def test_a_refusal_is_sent_elsewhere_without_a_budget_for_retries(reply, answered):
+    """Nothing has run, so that the other attempt is no extra load.
+
+    The budget is empty after many hedges, and a target that began to drain cost a part then.
+    """
+    settings = SearchSettings(retries=BudgetedRetries(count=0))
+    driver = Driver(script=reply_to_first_attempt(reply), search=settings)
+    driver.request_search()
+    driver.run()
+    assert driver.outcome().coverage.answered == answered
+
+
 @pytest.mark.parametrize(
     ("reply", "after_ms", "reason"),
     [
--- a/tests/process/callers.py
+++ b/tests/process/callers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from itertools import count
 from threading import Event, Thread
+from uuid import uuid4
 
 import requests
 
@@ -61,6 +62,9 @@
 
     def __init__(self, address, searching=6, ordering=2):
         self.sent = []
+        # Not the id of the object, which a later object may have again: an order of an earlier test
+        # that a kill had cut would then have the same key.
+        self._name = uuid4().hex
         self._url = f"http://{address}"
         self._stopping = Event()
         self._first_answered = Event()
@@ -108,7 +112,7 @@
                     connection.close()
 
     def _send(self, connection, is_order):
-        key = f"order-{id(self)}-{next(self._numbers)}" if is_order else ""
+        key = f"order-{self._name}-{next(self._numbers)}" if is_order else ""
         path = "/v1/routes/order" if is_order else "/v1/searches/counter"
         return self._post(connection, path, key)
 
