Copies and construction of frozen data classes, immediate writes, stored class code

Cause: a profile of a real instance under searches to ten shards (`make profile`, new) showed 42% of the processor time in the generated __init__ of frozen data classes and in `replace`: each field is set by a call, because the class forbids assignments. Each request to a target also waited for one more turn of the event loop with two calls of epoll, and went through a wrapper of Twisted's endpoints. At a start, a quarter of the processor time went into compiling the methods of 350 data classes.

Change: `replace` and the decorator `fast_init` fill an instance of a private class with the same slots that allows assignments, and then give it its own class; the result is as frozen as before. The states, events and effects on the path of a forwarded request use it. Requests to targets are written at once; what the socket does not take is buffered as before. The build on the platform stores the code objects of data classes by their source text, and its entry point does not load the library of the command line.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 DEPLOYMENT ?= bertolini
 ARGS ?=
 
-.PHONY: help env demo test lint format bench guards capacity binary soak
+.PHONY: help env demo test lint format bench guards profile capacity binary soak
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' Makefile | sed -E 's/:.*## /\t/' | expand -t 12
@@ -43,6 +43,9 @@
 soak: env ## run a random schedule of faults on real processes (ARGS="--seed N --minutes M --instances K")
 	$(BIN)/python -m savoryarch_soak $(ARGS)
 
+profile: env ## print where an instance spends its processor time (ARGS="--queries N --route find|read")
+	$(BIN)/python -m benchmarks.profile_forwarding $(ARGS)
+
 capacity: env ## print the measured slopes and the tables of docs/CAPACITY.md
 	$(BIN)/python -m savoryarch_bench.capacity $(ARGS)
 
--- a/deploy/main.py
+++ b/deploy/main.py
@@ -1,6 +1,9 @@
 """Entry point on the platform; the build copies it beside the package and compiles both.
 
 The machines have a read-only checkout, on which a start could not store compiled modules.
+
+    main.py serve --settings FILE    run an entry instance
+    main.py store-class-code         called by the build; see `class_code`
 """
 
 import gc
@@ -13,6 +16,34 @@
 # Imported modules are never garbage; collections during the import take a tenth of the start time.
 gc.disable()
 
-from savoryarch.cli import main  # noqa: E402
+from class_code import store_code, use_stored_code  # noqa: E402
+
+compiled = use_stored_code()
+
+from savoryarch.entry import run_entry  # noqa: E402
+from savoryarch.exceptions import FindingsError  # noqa: E402
+from savoryarch.settings import load_settings  # noqa: E402
+
+# The exit codes of the command line, whose module would load its library.
+REFUSED_EXIT_CODE, USAGE_EXIT_CODE = 1, 2
+
+
+def main(arguments: list[str]) -> int:
+    """Run the command; the command line's library is not loaded, which would delay each start."""
+    match arguments:
+        case ["serve", "--settings", path]:
+            try:
+                settings = load_settings(path)
+            except FindingsError as error:
+                print(error, file=sys.stderr)
+                return REFUSED_EXIT_CODE
+            return run_entry(settings, path)
+        case ["store-class-code"]:
+            store_code(compiled)
+            return 0
+        case _:
+            print(__doc__, file=sys.stderr)
+            return USAGE_EXIT_CODE
+
 
-sys.exit(main())
+sys.exit(main(sys.argv[1:]))
--- a/savoryarch/codec/_reply_parser.py
+++ b/savoryarch/codec/_reply_parser.py
@@ -6,6 +6,7 @@
 from httptools import HttpParserError, HttpResponseParser
 
 from savoryarch.exceptions import CodecError
+from savoryarch.utils import fast_init
 
 # A reply of more bytes, or one that adds no byte to its body within as many bytes as a head may
 # have, does not end in a reasonable time. The latter covers heads, trailers, chunk extensions and
@@ -16,6 +17,7 @@
 _FIRST_FINAL_STATUS = 200
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class HttpReply:
     """One complete HTTP reply.
--- a/savoryarch/entry/_instance.py
+++ b/savoryarch/entry/_instance.py
@@ -277,14 +277,14 @@
                 self._answer(request_id, outcome)
             case Count(counter=counter, reason=reason, by=by):
                 self.metrics.count(counter, reason, by)
-            case _ if isinstance(effect, StoreCall):
-                self._call_store(effect)
             case RecordHistogram(histogram=name, value_ms=value_ms, attributes=attributes):
                 self.metrics.record_ms(name, value_ms, dict(attributes))
             case LogEvent(name=name, fields=fields):
                 log_event(name, fields)
             case LogRoutine(name=name, fields=fields):
                 log_routine(name, fields)
+            case _ if isinstance(effect, StoreCall):
+                self._call_store(effect)
             case _:
                 self._perform_rare_effect(effect)
 
--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -106,6 +106,7 @@
         self._exchange: Exchange | None = None
         self._reply: HttpReply | None = None
         self._held_bytes = 0
+        self._writes_immediately = False
         self._failure_detail = ""
         self._grace_timer: Any = None
         self._closed = False
@@ -145,6 +146,7 @@
             self._close()
             return
         self.transport.setTcpNoDelay(True)
+        self._writes_immediately = hasattr(self.transport, "writeSomeData")
         self._step("connected")
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -219,8 +221,21 @@
             self._actions[action]()
 
     def _write_request(self) -> None:
+        """Send the request now, without waiting for the event loop to report a writable socket."""
         assert self._exchange is not None
-        self.transport.write(self._exchange.request)
+        request = self._exchange.request
+        if not self._writes_immediately:
+            self.transport.write(request)
+            return
+        sent_bytes = self.transport.writeSomeData(request)
+        if isinstance(sent_bytes, int):
+            request = request[sent_bytes:]
+        # If the connection is lost, the transport reports that when it writes the rest.
+        if request:
+            self._writes_immediately = (
+                False  # later bytes must not overtake those that are buffered
+            )
+            self.transport.write(request)
 
     def _deliver_reply(self) -> None:
         exchange, reply = self._pop_exchange(), self._reply
--- a/savoryarch/entry/_target_pool.py
+++ b/savoryarch/entry/_target_pool.py
@@ -4,9 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
-from twisted.internet.error import ConnectError
-from twisted.python.failure import Failure
+from twisted.internet.protocol import ClientFactory, Protocol
 
 from savoryarch.codec import Dialect, HttpReply
 from savoryarch.entry._log import log_error
@@ -42,6 +40,21 @@
 _MS_PER_S = 1000.0
 
 
+class _ConnectionFactory(ClientFactory):
+    """Makes the protocol of one connection, without the wrapper of Twisted's endpoints."""
+
+    noisy = False
+
+    def __init__(self, connection: TargetConnection) -> None:
+        self._connection = connection
+
+    def buildProtocol(self, addr: object) -> Protocol:  # noqa: N802
+        return self._connection
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:  # noqa: N802
+        self._connection.connect_failed()
+
+
 class TargetPool:
     """Opens, reuses and closes the connections to one target.
 
@@ -326,19 +339,14 @@
         connection = TargetConnection(self, self.reactor)
         self._open.add(connection)
         self._connecting.add(connection)
-        endpoint = TCP4ClientEndpoint(
-            self.reactor,
-            self.target.host,
-            self.target.port,
-            self.dialect.connect_timeout_ms / _MS_PER_S,
-        )
-        connectProtocol(endpoint, connection).addErrback(self._connect_failed, connection)
-
-    def _connect_failed(self, failure: Failure, connection: TargetConnection) -> None:
-        if not failure.check(ConnectError):
-            detail = (("target", self.target.target_id), ("error", failure.getErrorMessage()))
-            log_error("connect_failed", detail)
-        connection.connect_failed()
+        timeout_s = self.dialect.connect_timeout_ms / _MS_PER_S
+        factory = _ConnectionFactory(connection)
+        try:
+            self.reactor.connectTCP(self.target.host, self.target.port, factory, timeout_s)
+        except (OSError, OverflowError, ValueError) as error:
+            fields = (("target", self.target.target_id), ("error", str(error)))
+            log_error("connect_failed", fields)
+            connection.connect_failed()
 
     def _fail_waiting(self, detail: str) -> None:
         # As long as one connection is open, it serves the waiting operations when it is idle.
--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -76,10 +76,6 @@
         ]
 
 
-def wrapped_protocol(protocol):
-    return getattr(protocol, "_wrappedProtocol", protocol)
-
-
 def lose(protocol):
     protocol.connectionLost(Failure(ConnectionDone()))
 
@@ -93,6 +89,42 @@
     return PoolHarness(reactor, pool, events)
 
 
+class ImmediateTransport(NoDelayTransport):
+    """Sends at most `room` bytes of each immediate write; None stands for a lost connection."""
+
+    def __init__(self, room):
+        super().__init__()
+        self.room = room
+        self.sent = b""
+
+    def writeSomeData(self, data):
+        if self.room is None:
+            return ConnectionLost("reset")
+        self.sent += data[: self.room]
+        return len(data[: self.room])
+
+
+@pytest.mark.parametrize(("room", "sent_share"), [(10_000, 1.0), (0, 0.0), (25, None), (None, 0.0)])
+def test_requests_are_written_at_once_and_in_order(harness, room, sent_share):
+    """What the socket does not take at once is buffered, and later requests follow it."""
+    requests = []
+    harness.send("a1")
+    _, _, factory, *_ = harness.reactor.tcpClients.pop(0)
+    protocol = factory.buildProtocol(None)
+    transport = ImmediateTransport(room)
+    protocol.makeConnection(transport)
+    for name in ("a1", "a2", "a3"):
+        if name != "a1":
+            harness.send(name)
+        request = transport.sent + transport.value()
+        requests.append(request.decode().count("POST "))
+        protocol.dataReceived(part_reply(name))
+    assert requests == [1, 2, 3]
+    assert [attempt_id for attempt_id, _ in harness.ended()] == ["a1", "a2", "a3"]
+    if sent_share is not None:
+        assert len(transport.sent) == sent_share * len(transport.sent + transport.value())
+
+
 @pytest.mark.parametrize(
     ("reply", "kind", "reusable"),
     [
--- a/savoryarch/forwarding/_context.py
+++ b/savoryarch/forwarding/_context.py
@@ -5,7 +5,7 @@
 from savoryarch.forwarding._state import Forward, ForwardingState, SubRequest
 from savoryarch.model import DecidedOnTargets, SetTimer
 from savoryarch.targets import TargetsState
-from savoryarch.utils import replace
+from savoryarch.utils import fast_init, replace
 
 CHECK_TIMER = "forwarding/due/"
 CAPACITY_TIMER = "forwarding/room/"
@@ -13,6 +13,7 @@
 DecidedForward = DecidedOnTargets[ForwardingState, TargetsState]
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class DecisionContext:
     """The working record of one decision on one request.
--- a/savoryarch/forwarding/_state.py
+++ b/savoryarch/forwarding/_state.py
@@ -15,12 +15,13 @@
     ForwardRequested,
 )
 from savoryarch.quarantine import QuarantineSettings, QuarantineState, make_quarantine_state
-from savoryarch.utils import Budget
+from savoryarch.utils import Budget, fast_init
 
 NEVER_MS = float("inf")  # time of an event that is not scheduled
 _QUARANTINE = QuarantineSettings()
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class ForwardAttempt:
     """One attempt that has not ended: a sub-request that was sent to one target.
@@ -44,6 +45,7 @@
     started_at_ms: float
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class SubRequest:
     """The part of a forwarded request that goes to one service, in one or more attempts.
@@ -84,6 +86,7 @@
     failure: str = ""
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class Forward:
     """One request of a client that has not been answered.
@@ -150,6 +153,7 @@
         return any(sub_request.may_have_run for sub_request in self.sub_requests.values())
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class ServiceBudget:
     """The extra attempts that this instance may send to a service.
@@ -166,6 +170,7 @@
     refilled_at_ms: float
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class ForwardingState:
     """State of all forwarded requests of this instance.
--- a/savoryarch/front/_parser.py
+++ b/savoryarch/front/_parser.py
@@ -5,10 +5,12 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from savoryarch.model.forwarding import FrontLimits, HeaderFields
+from savoryarch.utils import fast_init
 
 _EXPECT_CONTINUE = b"100-continue"
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class ParsedRequest:
     """One complete request as received; a chunked body has been decoded."""
--- a/savoryarch/model/_common.py
+++ b/savoryarch/model/_common.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from savoryarch.utils import fast_init
+
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
@@ -16,6 +18,7 @@
     timer_id: str
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     """Effect: deliver `TimerFired` at a given time; a timer of the same id is replaced.
@@ -45,6 +48,7 @@
     timer_id: str
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class Count:
     """Effect: add to a counter.
@@ -64,6 +68,7 @@
     by: int = 1
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class LogEvent:
     """Effect: write a line of key=value pairs to the log.
@@ -80,6 +85,7 @@
     fields: tuple[tuple[str, str], ...] = ()
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class LogRoutine:
     """Effect: write a log line about a routine event.
@@ -98,6 +104,7 @@
     fields: tuple[tuple[str, str], ...] = ()
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class RecordHistogram:
     """Effect: record a duration in a histogram.
--- a/savoryarch/model/_decided.py
+++ b/savoryarch/model/_decided.py
@@ -3,10 +3,13 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from savoryarch.utils import fast_init
+
 State = TypeVar("State")
 Shared = TypeVar("Shared")
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class Decided(Generic[State]):
     """The result of a decision.
@@ -23,6 +26,7 @@
     effects: tuple[object, ...] = ()
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class DecidedOnTargets(Generic[State, Shared]):
     """The result of a decision that also changes the state of the targets.
--- a/savoryarch/model/_targets.py
+++ b/savoryarch/model/_targets.py
@@ -5,6 +5,7 @@
 
 from savoryarch.model._search import SnapshotId
 from savoryarch.model.forwarding import ForwardedRequest, HeaderFields
+from savoryarch.utils import fast_init
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +46,7 @@
     body: bytes
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
     """Effect: send a request to a target; it ends with exactly one `AttemptEnded`.
@@ -109,6 +111,7 @@
     body: bytes
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class ResponseReturned:
     """Reply: the target ran a forwarded request.
@@ -229,6 +232,7 @@
 )
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """Event: an attempt has ended.
@@ -306,6 +310,7 @@
     PROBE_FAILED = "probe_failed"
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class TargetEvidenceReceived:
     """Event: evidence of a target's state was received.
--- a/savoryarch/model/forwarding.py
+++ b/savoryarch/model/forwarding.py
@@ -6,6 +6,7 @@
 
 from savoryarch.model._declarations import Target
 from savoryarch.model._search import Refused
+from savoryarch.utils import fast_init
 
 __all__ = [
     "AnswerForward",
@@ -238,6 +239,7 @@
     """Event: a forwarding table and registered targets have been read for the first time."""
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class ForwardedRequest:
     """A client's request as it is sent to targets.
@@ -264,6 +266,7 @@
     body: bytes
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class ForwardRequested:
     """Event: a client has sent a request to forward.
@@ -283,6 +286,7 @@
     client_remaining_ms: float | None
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class TargetAnswered:
     """Outcome: the reply of a target, sent to the client unchanged.
@@ -302,6 +306,7 @@
     body: bytes
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class ShardsAnswered:
     """Outcome: the merged replies of the shards.
--- a/savoryarch/quarantine/_decide.py
+++ b/savoryarch/quarantine/_decide.py
@@ -14,7 +14,7 @@
     RequestRecord,
     ServiceHistory,
 )
-from savoryarch.utils import heap_pop, heap_push, replace, sorted_items
+from savoryarch.utils import fast_init, heap_pop, heap_push, replace, sorted_items
 
 # Replies count at one service only up to the crashes plus this number, so that a request with many
 # replies is still quarantined after a bounded number of crashes.
@@ -25,11 +25,13 @@
 DecidedQuarantine = Decided[QuarantineState]
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class Allowed:
     """The request or the attempt may go ahead."""
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class MustWait:
     """The request is a suspect, and the attempt must wait.
@@ -39,6 +41,7 @@
     """
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class Quarantined:
     """The request is refused.
--- a/savoryarch/quarantine/_state.py
+++ b/savoryarch/quarantine/_state.py
@@ -5,11 +5,12 @@
 from immutables import Map
 
 from savoryarch.quarantine._settings import QuarantineSettings
-from savoryarch.utils import Heap
+from savoryarch.utils import Heap, fast_init
 
 NEVER_MS = float("-inf")
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class ServiceHistory:
     """Crashes and replies of one request at one service, since its first crash there.
@@ -32,6 +33,7 @@
     last_crash_at_ms: float = NEVER_MS
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class RequestRecord:
     """Record of one suspected or quarantined request.
@@ -51,6 +53,7 @@
     expires_at_ms: float = NEVER_MS
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class InFlightAttempt:
     """An attempt in flight.
@@ -67,6 +70,7 @@
     service: str
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class QuarantineState:
     """State of the quarantine at one instance.
--- a/savoryarch/targets/_latency.py
+++ b/savoryarch/targets/_latency.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass
 
+from savoryarch.utils import fast_init
+
 _FIRST_BUCKET_MS = 0.1
 _BUCKET_RATIO = 1.1
 _BUCKETS = 120
@@ -16,6 +18,7 @@
 TAIL_SHARE = 0.952
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class LatencyHistogram:
     """Recent latencies in buckets whose bounds form a geometric series.
@@ -97,6 +100,7 @@
     return _FIRST_BUCKET_MS
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class RecentLatency:
     """A moving mean of a target's latency.
--- a/savoryarch/targets/_state.py
+++ b/savoryarch/targets/_state.py
@@ -7,8 +7,10 @@
 from savoryarch.model import Service, SnapshotId, Target
 from savoryarch.targets._latency import LatencyHistogram, RecentLatency
 from savoryarch.targets._settings import TargetsSettings
+from savoryarch.utils import fast_init
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class TargetRecord:
     """What this instance knows of one target, except its own use of it.
@@ -56,6 +58,7 @@
     listed: bool = False
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class TargetUsage:
     """The use of one target by this instance.
@@ -103,6 +106,7 @@
     last_failed_at_ms: float = float("-inf")
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class ServiceRecord:
     """What this instance knows of one service.
@@ -122,6 +126,7 @@
     replica_counts: Map[SnapshotId, int] = field(default_factory=Map)
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class TargetsState:
     """What this instance knows of all targets.
--- a/savoryarch/targets/_target_chart.py
+++ b/savoryarch/targets/_target_chart.py
@@ -8,7 +8,7 @@
 from savoryarch.model import ProbeTarget, SnapshotId
 from savoryarch.targets._limits import MIN_LIMIT
 from savoryarch.targets._state import ServiceRecord, TargetRecord, TargetsState
-from savoryarch.utils import replace
+from savoryarch.utils import fast_init, replace
 
 LIVE = "live"
 SUSPECTED = "suspected"
@@ -18,6 +18,7 @@
 CHART = load_chart("target", frozenset({"start_warm_up", "record_negative_evidence", "probe"}))
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class SteppedTargets:
     """The result of a step of one target.
--- a/savoryarch/utils/__init__.py
+++ b/savoryarch/utils/__init__.py
@@ -6,7 +6,7 @@
 from savoryarch.utils._heap import Heap, heap_pop, heap_push
 from savoryarch.utils._ini import IniDocument, IniEntry, IniSection, parse_ini
 from savoryarch.utils._lingering_close import start_lingering_close
-from savoryarch.utils._replace import replace
+from savoryarch.utils._replace import fast_init, replace
 from savoryarch.utils._sorted_items import sorted_items
 from savoryarch.utils._validation import (
     NAME,
@@ -48,6 +48,7 @@
     "WordList",
     "add_tokens",
     "find_key_place",
+    "fast_init",
     "format_findings",
     "format_suggestion",
     "heap_pop",
--- a/savoryarch/utils/_budget.py
+++ b/savoryarch/utils/_budget.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass
 
+from savoryarch.utils._replace import fast_init
 
+
+@fast_init
 @dataclass(frozen=True, slots=True)
 class Budget:
     """Tokens for extra sub-requests.
--- a/savoryarch_soak/_small_deployment.py
+++ b/savoryarch_soak/_small_deployment.py
@@ -91,13 +91,17 @@
         for process in reversed(self._started):
             process.kill()
 
-    def start_entry(self, level: str = "info") -> tuple[ManagedProcess, HTTPConnection]:
+    def start_entry(
+        self, level: str = "info", program: tuple[str, ...] = ("savoryarch",)
+    ) -> tuple[ManagedProcess, HTTPConnection]:
         """Start an entry instance and wait until it answers searches.
 
         Parameters
         ----------
         level : str
             Level of its log.
+        program : tuple of str
+            Module to run, and arguments that precede those of the program.
 
         Returns
         -------
@@ -108,7 +112,7 @@
         settings = render_settings(0, 1, addresses, self._store)
         path = self._folder / f"entry-{level}.ini"
         path.write_text(settings.replace("[log]", f"[log]\nlevel = {level}"), encoding="utf-8")
-        arguments = ["-m", "savoryarch", "serve", "--settings", str(path)]
+        arguments = ["-m", *program, "serve", "--settings", str(path)]
         entry = self._start(f"entry-{level}", arguments)
         return entry, _connect_when_serving(addresses[0])
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -4,7 +4,11 @@
 another platform needs another adapter only.
 """
 
+import os
 import re
+import shutil
+import subprocess
+import sys
 import tomllib
 from pathlib import Path
 
@@ -82,6 +86,59 @@
     assert role["run"].split()[1].startswith("target/app/main.py")
 
 
+@pytest.mark.parametrize(
+    ("arguments", "exit_code", "output"),
+    [
+        (["store-class-code"], 0, ""),
+        (["serve", "--settings", "missing.ini"], 1, "cannot be read"),
+        (["serve"], 2, "serve --settings FILE"),
+        ([], 2, "serve --settings FILE"),
+    ],
+)
+def test_the_entry_point_on_the_platform_runs_its_commands(tmp_path, arguments, exit_code, output):
+    for name in ("main.py", "class_code.py"):
+        shutil.copy(DEPLOY / name, tmp_path)
+    process = subprocess.run(
+        [sys.executable, str(tmp_path / "main.py"), *arguments],
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        capture_output=True,
+        text=True,
+        timeout=60.0,
+    )
+    assert (process.returncode, output in process.stderr) == (exit_code, True), process.stderr
+
+
+@pytest.mark.parametrize(
+    ("stored", "compiles"),
+    [("", True), ("store-class-code", False), ("another version", True), ("other sources", True)],
+)
+def test_stored_code_of_data_classes_saves_their_compilation(tmp_path, stored, compiles):
+    """A file of another version of Python, or of other sources, is not used."""
+    shutil.copy(DEPLOY / "class_code.py", tmp_path)
+    program = (
+        "import class_code; from dataclasses import dataclass; from sys import argv\n"
+        "compiled = class_code.use_stored_code()\n"
+        "@dataclass(frozen=True, slots=True)\n"
+        "class Point:\n    x: int\n    y: int = 2\n"
+        "assert Point(1) == Point(1, 2) and hash(Point(1)) == hash(Point(1, 2))\n"
+        "if argv[1:]: class_code.store_code(compiled)\n"
+        "print(bool(compiled))\n"
+    )
+
+    def run(text, *arguments):
+        command = [sys.executable, "-c", text, *arguments]
+        done = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True, timeout=30.0)
+        assert done.returncode == 0, done.stderr
+        return done.stdout.strip()
+
+    if stored:
+        run(program.replace("y: int", "z: int") if stored == "other sources" else program, "store")
+    if stored == "another version":
+        path = tmp_path / "class_code.bin"
+        path.write_bytes(b"\0" + path.read_bytes())
+    assert run(program) == str(compiles)
+
+
 @pytest.mark.parametrize(
     "path",
     sorted(
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -15,7 +15,7 @@
 
 class ImportHook:
     def find_spec(self, name, path=None, target=None):
-        if name == "savoryarch.cli":
+        if name in ("savoryarch.cli", "savoryarch.entry"):
             print("ignored" if signal.getsignal(signal.SIGHUP) is signal.SIG_IGN else "fatal")
             sys.exit(0)
 
@@ -29,7 +29,7 @@
     "run_statement",
     [
         'runpy.run_module("savoryarch", run_name="__main__")',
-        'runpy.run_path("deploy/main.py", run_name="__main__")',
+        'sys.path.insert(0, "deploy"); runpy.run_path("deploy/main.py", run_name="__main__")',
     ],
 )
 def test_reload_signal_is_ignored_while_the_program_is_loaded(run_statement):
