Metrics: aggregate histograms in the process; admission asks each service once

Change: histograms are aggregated in the process and handed to OpenTelemetry's reader when it collects; admission derives both answers from the end of the pauses.

--- a/savoryarch/entry/_instance.py
+++ b/savoryarch/entry/_instance.py
@@ -278,7 +278,7 @@
             case Count(counter=counter, reason=reason, by=by):
                 self.metrics.count(counter, reason, by)
             case RecordHistogram(histogram=name, value_ms=value_ms, attributes=attributes):
-                self.metrics.record_ms(name, value_ms, dict(attributes))
+                self.metrics.record_ms(name, value_ms, attributes)
             case LogEvent(name=name, fields=fields):
                 log_event(name, fields)
             case LogRoutine(name=name, fields=fields):
--- a/savoryarch/entry/_metrics.py
+++ b/savoryarch/entry/_metrics.py
@@ -1,11 +1,9 @@
 """Counters, gauges and histograms by OpenTelemetry, in the Prometheus text format."""
 
-from collections import deque
 from importlib import import_module
 from typing import Any
 
-# Histogram samples that are held until the library is loaded; the oldest are dropped beyond it.
-MAX_PENDING_SAMPLES = 20_000
+from savoryarch.entry._histograms import Attributes, LatencyHistogram
 
 LATENCY_BOUNDS_MS = (5, 10, 20, 40, 60, 80, 100, 150, 250, 500, 1000, 2000, 5000)
 
@@ -15,16 +13,16 @@
 
     Values of counters and gauges are distinguished by the attribute ``reason``. Loading the
     library takes a large part of the start of an instance, so it is loaded by `start` or by the
-    first `render`; samples of histograms are held until then.
+    first `render`. Histograms are aggregated here and handed to the library when it collects,
+    because recording each sample there would take a tenth of the time of a sub-request.
     """
 
     def __init__(self) -> None:
         self._counts: dict[str, dict[str, int]] = {}
         self._gauges: dict[str, dict[str, float]] = {}
-        self._samples: deque[tuple[str, float, dict[str, Any]]] = deque(maxlen=MAX_PENDING_SAMPLES)
         self._provider: Any = None
         self._meter: Any = None
-        self._histograms: dict[str, Any] = {}
+        self._histograms: dict[tuple[str, Attributes], LatencyHistogram] = {}
         self._registered: set[str] = set()
 
     def count(self, counter: str, reason: str, by: int = 1) -> None:
@@ -50,36 +48,26 @@
         if self._meter is not None and name not in self._registered:
             self._register_gauge(name)
 
-    def record_ms(self, name: str, value_ms: float, attributes: dict[str, Any]) -> None:
+    def record_ms(self, name: str, value_ms: float, attributes: Attributes) -> None:
         """Record a duration, in milliseconds, in a histogram with attributes of its own."""
-        if self._meter is None:
-            self._samples.append((name, value_ms, attributes))
-            return
-        instrument = self._histograms.get(name)
-        if instrument is None:
-            instrument = self._meter.create_histogram(
-                f"savoryarch_{name}",
-                unit="ms",
-                explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_MS,
-            )
-            self._histograms[name] = instrument
-        instrument.record(value_ms, attributes)
+        histogram = self._histograms.get((name, attributes))
+        if histogram is None:
+            histogram = self._histograms[name, attributes] = LatencyHistogram(LATENCY_BOUNDS_MS)
+        histogram.record(value_ms)
 
     def start(self) -> None:
-        """Load the library, register the instruments and record the samples held until now."""
+        """Load the library and register the instruments."""
         if self._provider is not None:
             return
-        exporter = import_module("opentelemetry.exporter.prometheus")
         sdk = import_module("opentelemetry.sdk.metrics")
-        reader = exporter.PrometheusMetricReader()
+        export = import_module("savoryarch.entry._histogram_export")
+        reader = export.HistogramReader(self._histograms)
         self._provider = sdk.MeterProvider([reader], shutdown_on_exit=False)
         self._meter = self._provider.get_meter("savoryarch")
         for counter in self._counts:
             self._register_counter(counter)
         for name in self._gauges:
             self._register_gauge(name)
-        while self._samples:
-            self.record_ms(*self._samples.popleft())
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text exposition format."""
--- a/savoryarch/forwarding/_admission.py
+++ b/savoryarch/forwarding/_admission.py
@@ -7,7 +7,7 @@
 from savoryarch.forwarding._budgets import refill_budget
 from savoryarch.forwarding._context import DecisionContext
 from savoryarch.forwarding._routes import match_route, select_services
-from savoryarch.forwarding._state import Forward, ForwardingState, SubRequest
+from savoryarch.forwarding._state import NEVER_MS, Forward, ForwardingState, SubRequest
 from savoryarch.model import (
     RefusalReason,
 )
@@ -18,7 +18,7 @@
     ToShards,
 )
 from savoryarch.quarantine import Quarantined, check_request, fingerprint_request
-from savoryarch.targets import TargetsState, has_serving_target, pause_ends_at_ms
+from savoryarch.targets import TargetsState, pause_ends_at_ms
 from savoryarch.utils import replace
 
 # The bound on the load of a service is multiplied by a priority factor: 1 for the most urgent
@@ -136,24 +136,15 @@
     if isinstance(verdict, Quarantined):
         return RefusalReason.QUARANTINED
     allowed_missing = len(services) - forward.required_count
-    unserved = [
-        service
-        for service in services
-        if not has_serving_target(context.targets, service, frozenset(), None)
-    ]
-    if len(unserved) > allowed_missing:
+    served_at_ms = [pause_ends_at_ms(context.targets, service) for service in services]
+    if served_at_ms.count(NEVER_MS) > allowed_missing:
         return RefusalReason.NO_TARGET
-    paused = [
-        service
-        for service in services
-        if pause_ends_at_ms(context.targets, service) > forward.objective_at_ms
-    ]
-    if len(paused) > allowed_missing:  # includes the services without a target
-        return RefusalReason.OVERLOADED
-    overloaded = sum(
-        1 for service in services if service not in paused and _is_overloaded(context, service)
+    unserved = sum(
+        1
+        for service, at_ms in zip(services, served_at_ms, strict=True)
+        if at_ms > forward.objective_at_ms or _is_overloaded(context, service)
     )
-    return RefusalReason.OVERLOADED if overloaded + len(paused) > allowed_missing else None
+    return RefusalReason.OVERLOADED if unserved > allowed_missing else None
 
 
 def _is_overloaded(context: DecisionContext, service: str) -> bool:
--- a/tests/outer_source.py
+++ b/tests/outer_source.py
@@ -117,7 +117,7 @@
     metrics = Metrics()
     metrics.count("outer_counter", "some_reason", 2)
     metrics.set_gauge("outer_gauge", "some_reason", 3.0)
-    metrics.record_ms("outer_ms", 30.0, {"route": "one"})
+    metrics.record_ms("outer_ms", 30.0, (("route", "one"),))
     try:
         lines = metrics.render().decode().splitlines()
     finally:
