Admission: use the slots that other instances leave free, as far as targets report it

Change: the adapter decodes the running and waiting requests that a target reports with each reply. They correct the estimate of the requests of other instances, which places attempts, and admission lets an instance use what the others leave free, while no target refuses or fails. Where nothing is reported, the share holds as before; a report can only admit more than before, never less.

Result: with six instances listed and one that gets 600 requests a second, over 10% are refused if nothing is reported (the rule before), under 2% if the targets report that the others are idle, and over 10% again if they report that the others use them.

--- a/savoryarch/codec/_dialect.py
+++ b/savoryarch/codec/_dialect.py
@@ -55,6 +55,9 @@
     def decode_advice(self, reply: HttpReply) -> TargetAdvice:
         """Return what the target states about itself in a reply, `NO_ADVICE` if nothing."""
 
+    def decode_in_flight(self, reply: HttpReply) -> int | None:
+        """Return how many requests of all instances the target runs or queues, if it reports it."""
+
     def encode_cancel(self, attempt_id: str, host: str) -> bytes | None:
         """Return the request that cancels an attempt; None if closing the connection cancels it."""
 
@@ -96,6 +99,10 @@
         """Return `NO_ADVICE`: these targets state it in the body of a refusal."""
         return NO_ADVICE
 
+    def decode_in_flight(self, reply: HttpReply) -> int | None:
+        """Return None, because these targets report no number."""
+        return None
+
     def encode_cancel(self, attempt_id: str, host: str) -> bytes | None:
         """Return the request that cancels an attempt."""
         return encode_cancel(attempt_id, host)
--- a/savoryarch/entry/_operations.py
+++ b/savoryarch/entry/_operations.py
@@ -156,16 +156,25 @@
 
     def report_reply(self, reply: HttpReply) -> None:
         """Feed `AttemptEnded` with the decoded reply."""
-        decoded, snapshots, load = self._pool.dialect.decode_attempt_reply(reply, self._effect)
-        self._report(decoded, snapshots, load)
+        dialect = self._pool.dialect
+        decoded, snapshots, load = dialect.decode_attempt_reply(reply, self._effect)
+        self._report(decoded, snapshots, load, dialect.decode_in_flight(reply))
 
     def report_failure(self, reply: AttemptReply) -> None:
         """Feed `AttemptEnded` with the reason why there is no usable reply."""
-        self._report(reply, (), None)
+        self._report(reply, (), None, None)
 
     def _report(
-        self, reply: AttemptReply, snapshots: tuple[SnapshotId, ...], load: float | None
+        self,
+        reply: AttemptReply,
+        snapshots: tuple[SnapshotId, ...],
+        load: float | None,
+        target_in_flight: int | None,
     ) -> None:
         effect = self._effect
         self._pool.remove_attempt(effect.attempt_id)
-        self._pool.feed(AttemptEnded(effect.attempt_id, effect.target_id, reply, snapshots, load))
+        self._pool.feed(
+            AttemptEnded(
+                effect.attempt_id, effect.target_id, reply, snapshots, load, target_in_flight
+            )
+        )
--- a/savoryarch/forwarding/_admission.py
+++ b/savoryarch/forwarding/_admission.py
@@ -18,12 +18,14 @@
     ToShards,
 )
 from savoryarch.quarantine import Quarantined, check_request, fingerprint_request
-from savoryarch.targets import TargetsState, pause_ends_at_ms
+from savoryarch.targets import TargetsState, measure_load, pause_ends_at_ms
 from savoryarch.utils import replace
 
 # The bound on the load of a service is multiplied by a priority factor: 1 for the most urgent
 # routes, and less by this step for each priority below them.
 PRIORITY_STEP = 0.15
+# Share of failed attempts at a target above which an instance keeps to its share of the slots.
+MAX_SHARING_FAILURE_SHARE = 0.1
 MIN_PRIORITY_FACTOR = 0.4  # so that the least urgent routes are not starved
 # Stands for the route of a request that matches none; such a request is always refused.
 _NO_ROUTE = ForwardedRoute("", "", "/", ToService(""), True, 1000.0, 1000.0, 1, 0)
@@ -150,15 +152,22 @@
 def _is_overloaded(context: DecisionContext, service: str) -> bool:
     """Return whether the requests in flight and waiting for a service have reached the bound.
 
-    The bound is this instance's share of the targets' slots, times the overload ratio and the
-    factor for the priority of the route.
+    The bound is the overload ratio and the factor for the priority of the route, times the slots
+    that this instance may use. That is its share of the targets' slots while some of them fail or
+    refuse requests. Otherwise it may use what the other instances leave free, as far as the targets
+    report it.
+
+    Load pattern: the load balancer sends the requests of many instances to one, for example after
+    all instances lost power, until the others have answered its checks again.
     """
-    targets = context.targets
-    in_flight = len(context.state.waiting.get(service, ()))
-    slots = 0
-    for target_id in targets.services[service].target_ids:
-        in_flight += targets.usages[target_id].in_flight
-        slots += targets.records[target_id].slots
+    load = measure_load(context.targets, service, context.now_ms)
+    in_flight = load.own_in_flight + len(context.state.waiting.get(service, ()))
     priority_factor = max(MIN_PRIORITY_FACTOR, 1.0 - PRIORITY_STEP * context.forward.route.priority)
-    share = max(1.0, slots / targets.live_instances)
-    return in_flight >= context.state.settings.overload_ratio * priority_factor * share
+    ratio = context.state.settings.overload_ratio * priority_factor
+    instances = context.targets.live_instances
+    if in_flight < ratio * max(1.0, load.slots / instances):
+        return False
+    if load.failure_share > MAX_SHARING_FAILURE_SHARE:
+        return True
+    usable_slots = load.reported_slots + (load.slots - load.reported_slots) / instances
+    return in_flight + load.others_in_flight >= ratio * usable_slots
--- a/savoryarch/forwarding/tests/test_advice.py
+++ b/savoryarch/forwarding/tests/test_advice.py
@@ -9,6 +9,7 @@
 
 from savoryarch.forwarding.tests.driver import SHARDS, Driver, returned
 from savoryarch.model import (
+    AttemptEnded,
     Declarations,
     DeclarationsInForce,
     NotSent,
@@ -20,6 +21,7 @@
     TargetEvidence,
 )
 from savoryarch.model.forwarding import ShardsAnswered, TargetAnswered
+from savoryarch.utils import replace
 
 
 def advise(driver, advice, *services, count=None):
@@ -177,3 +179,49 @@
         driver.end_attempt(send, reply)
     outcome = driver.outcome()
     assert isinstance(outcome, ShardsAnswered) and outcome.missing_shards == 1
+
+
+def run_load(driver, requests_per_s, others_in_flight, for_ms=2000.0, work_ms=15.0):
+    """Send reads for a while to a service whose targets report the load of other instances.
+
+    Each attempt is answered after `work_ms`, with the requests that the target has then:
+    those of this instance and `others_in_flight`, None if the targets report nothing. Returns the
+    share of the requests that were refused.
+    """
+    names, running = [], []
+    for number in range(int(for_ms / 1000.0 * requests_per_s)):
+        driver.advance(number * 1000.0 / requests_per_s)
+        names.append(driver.send_request("/read/1"))
+        running += [(driver.now_ms + work_ms, send) for send in driver.pop_sends()]
+        for item in [item for item in running if item[0] <= driver.now_ms]:
+            running.remove(item)
+            in_flight = driver.targets.usages[item[1].target_id].in_flight
+            reported = None if others_in_flight is None else in_flight + others_in_flight
+            driver.feed(
+                AttemptEnded(
+                    item[1].attempt_id, item[1].target_id, returned(), target_in_flight=reported
+                )
+            )
+            running += [(driver.now_ms + work_ms, send) for send in driver.pop_sends()]
+    return sum(isinstance(driver.outcome(name), Refused) for name in names) / len(names)
+
+
+@pytest.mark.parametrize(
+    ("others_in_flight", "most_refused", "least_refused"),
+    [
+        (0, 0.02, 0.0),  # the other instances are idle: all slots may be used
+        (None, 1.0, 0.1),  # nothing is known of them: this instance keeps to its share
+        (40, 1.0, 0.1),  # they use the targets to the bound: it keeps to its share
+    ],
+)
+def test_one_instance_that_gets_all_requests_uses_what_the_others_leave_free(
+    others_in_flight, most_refused, least_refused
+):
+    """Six instances are listed, and the targets could serve 800 requests a second.
+
+    The load balancer sends all requests to one instance until the others have answered its checks.
+    """
+    driver = Driver(slots=4)
+    driver.targets = replace(driver.targets, live_instances=6)
+    refused = run_load(driver, 600.0, others_in_flight)
+    assert least_refused <= refused <= most_refused
--- a/savoryarch/model/_targets.py
+++ b/savoryarch/model/_targets.py
@@ -247,6 +247,9 @@
         The snapshots that the target serves now, by its reply; empty if the reply lists none.
     load : float or None
         The load that the target reports, 0 to 1, which no decision uses; None if it reports none.
+    target_in_flight : int or None
+        Number of requests of all instances that the target runs or queues, by its reply; None if it
+        reports none.
     """
 
     attempt_id: str
@@ -254,6 +257,7 @@
     reply: AttemptReply
     snapshots: tuple[SnapshotId, ...] = ()
     load: float | None = None
+    target_in_flight: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/platform/_wire.py
+++ b/savoryarch/platform/_wire.py
@@ -35,6 +35,9 @@
 # "1" in every reply of a target that leaves; it concerns the target, not the reply.
 LEAVING_HEADER = "server-leaving"
 RETRY_AFTER_HEADER = "retry-after"
+# Running requests, waiting requests and slots of the target, separated by commas.
+LOAD_HEADER = "server-load"
+_MAX_REPORTED_DIGITS = 6
 PART_DIGESTS_HEADER = "Part-Stamps"
 MISSING_PARTS_HEADER = "Missing-Parts"
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -106,10 +109,7 @@
     def decode_attempt_reply(
         self, reply: HttpReply, send: SendAttempt
     ) -> tuple[AttemptReply, tuple[SnapshotId, ...], float | None]:
-        """Return the reply, no snapshots, and no load.
-
-        The platform's targets report their load, but limits follow refusals and latency instead.
-        """
+        """Return the reply, no snapshots, and no load; `decode_in_flight` returns a number."""
         return _classify_reply(reply), (), None
 
     def decode_advice(self, reply: HttpReply) -> TargetAdvice:
@@ -123,6 +123,17 @@
         hold_ms, ignored = decode_retry_after(retry_after) if retry_after else (None, "")
         return TargetAdvice(leaving, hold_ms, ignored)
 
+    def decode_in_flight(self, reply: HttpReply) -> int | None:
+        """Return the running and waiting requests that a reply reports; None if it has no such."""
+        numbers = reply.header(LOAD_HEADER).split(",")
+        if len(numbers) < 2:
+            return None
+        running, waiting = numbers[0].strip(), numbers[1].strip()
+        for number in (running, waiting):
+            if not (number.isascii() and number.isdigit()) or len(number) > _MAX_REPORTED_DIGITS:
+                return None
+        return int(running) + int(waiting)
+
     def encode_cancel(self, attempt_id: str, host: str) -> bytes | None:
         """Return None, because targets stop a request when its connection is closed."""
         return None
--- a/savoryarch/platform/tests/test_wire.py
+++ b/savoryarch/platform/tests/test_wire.py
@@ -315,3 +315,23 @@
 def test_an_odd_idle_timeout_does_not_end_the_connection(timeout):
     reply = HttpReply(200, b"", {"keep-alive": f"timeout={timeout}"})
     assert PlatformDialect().max_idle_ms(reply) > 0.0
+
+
+@pytest.mark.parametrize(
+    ("load", "in_flight"),
+    [
+        ("3,0,8", 3),
+        (" 3 , 2 , 8", 5),
+        ("3,2", 5),
+        ("", None),
+        ("3", None),
+        ("-1,2,8", None),
+        ("1.5,2,8", None),
+        ("\u00b2,2,8", None),
+        ("9" * 400 + ",0,8", None),
+    ],
+)
+def test_the_requests_that_a_target_reports_are_decoded(load, in_flight):
+    assert (
+        PlatformDialect().decode_in_flight(HttpReply(200, b"", {"server-load": load})) == in_flight
+    )
--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -8,10 +8,12 @@
     start_attempt,
 )
 from savoryarch.targets._choose import (
+    ServiceLoad,
     choose_target,
     choose_trial_target,
     has_capacity,
     has_serving_target,
+    measure_load,
     pause_ends_at_ms,
 )
 from savoryarch.targets._decide import decide_targets
@@ -42,6 +44,7 @@
     "ChoicePolicy",
     "LeastExpectedLatency",
     "RoundRobin",
+    "ServiceLoad",
     "ServiceRecord",
     "TargetLeaving",
     "TargetRecord",
@@ -59,6 +62,7 @@
     "is_slow",
     "make_targets_state",
     "may_probe",
+    "measure_load",
     "pause_ends_at_ms",
     "ready_connections",
     "record_overdue",
--- a/savoryarch/targets/_attempts.py
+++ b/savoryarch/targets/_attempts.py
@@ -148,8 +148,9 @@
 
     Notes
     -----
-    The load that a target reports is not used. In-flight limits depend on observed sheds and
-    latencies, which a target cannot misreport.
+    In-flight limits depend on observed sheds and latencies, which a target cannot misreport. The
+    number of requests that a target reports only affects placement, and whether more than this
+    instance's share is admitted.
     """
     record = state.records.get(ended.target_id)
     if record is None:
@@ -158,7 +159,7 @@
         case ResponseReturned(status=status) if status >= _FIRST_FAILURE_STATUS:
             state = _record_failure(state, record, now_ms)
         case PartReturned() | RouteReturned() | ResponseReturned():
-            state = _record_success(state, record, latency_ms, now_ms)
+            state = _record_success(state, record, ended, latency_ms, now_ms)
         case TimedOut() | DeadlinePassed() | Cancelled():
             state = _record_censored(state, record, latency_ms, now_ms)
         case MalformedReply() | TargetFailed():
@@ -183,20 +184,27 @@
 
 
 def _record_success(
-    state: TargetsState, record: TargetRecord, latency_ms: float, now_ms: float
+    state: TargetsState, record: TargetRecord, ended: AttemptEnded, latency_ms: float, now_ms: float
 ) -> TargetsState:
     """Record a reply and its latency; a timely reply resets the overdue count."""
     target_id, name = record.target.target_id, record.target.service
     service = state.services[name]
     previous = state.usages[target_id]
+    others_in_flight, others_observed_at_ms = (
+        previous.others_in_flight,
+        previous.others_observed_at_ms,
+    )
+    if ended.target_in_flight is not None:
+        others_in_flight = float(max(0, ended.target_in_flight - previous.in_flight))
+        others_observed_at_ms = now_ms
     usage = TargetUsage(
         in_flight=max(0, previous.in_flight - 1),
         limit=raised_limit(record, previous),
         last_started_at_ms=previous.last_started_at_ms,
         last_replied_at_ms=now_ms,
         latency_mean=add_to_recent(previous.latency_mean, latency_ms, now_ms),
-        others_in_flight=previous.others_in_flight,
-        others_observed_at_ms=previous.others_observed_at_ms,
+        others_in_flight=others_in_flight,
+        others_observed_at_ms=others_observed_at_ms,
         overdue_count=(
             0 if latency_ms <= service.latency_histogram.tail_ms else previous.overdue_count
         ),
--- a/savoryarch/targets/_choose.py
+++ b/savoryarch/targets/_choose.py
@@ -1,5 +1,7 @@
 """Chooses the targets of attempts by their expected latency, load and failures."""
 
+from dataclasses import dataclass
+
 from savoryarch.model import SnapshotId
 from savoryarch.targets._failures import FAILURE_COST_RATIO, recent_failure_share
 from savoryarch.targets._latency import expected_latency_ms
@@ -11,9 +13,35 @@
 # An expected latency below this multiple of the median costs nothing extra, since such differences
 # are treated as noise.
 _SLOW_RATIO = 2.0
+MAX_REPORT_AGE_MS = 500.0  # of the number of its requests that a target reported
 _MAX_PENALTY_DOUBLINGS = 5  # caps the penalty at 16 median latencies, so that it decays soon
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Use of the targets of a service.
+
+    Parameters
+    ----------
+    own_in_flight : int
+        Attempts of this instance that have not ended.
+    others_in_flight : float
+        Estimated requests of other instances at the targets that reported recently.
+    slots : int
+        Slots of all targets together.
+    reported_slots : int
+        Slots of the targets that reported the number of their requests recently.
+    failure_share : float
+        Greatest share of recent attempts that one of the targets refused or failed.
+    """
+
+    own_in_flight: int
+    others_in_flight: float
+    slots: int
+    reported_slots: int
+    failure_share: float
+
+
 def choose_target(
     state: TargetsState,
     service: str,
@@ -121,6 +149,22 @@
     )
 
 
+def measure_load(state: TargetsState, service: str, now_ms: float) -> ServiceLoad:
+    """Return how much of a service is in use, by what this instance knows now."""
+    service_record = state.services[service]
+    median_ms = service_record.latency_histogram.median_ms
+    own, others, slots, reported_slots, failing = 0, 0.0, 0, 0, 0.0
+    for target_id in service_record.target_ids:
+        usage = state.usages[target_id]
+        own += usage.in_flight
+        slots += state.records[target_id].slots
+        if now_ms - usage.others_observed_at_ms <= MAX_REPORT_AGE_MS:
+            reported_slots += state.records[target_id].slots
+            others += _decayed_others_in_flight(usage, median_ms, now_ms)
+        failing = max(failing, recent_failure_share(usage, state.settings, now_ms))
+    return ServiceLoad(own, others, slots, reported_slots, failing)
+
+
 def has_serving_target(
     state: TargetsState,
     service: str,
@@ -215,7 +259,8 @@
 def _decayed_others_in_flight(usage: TargetUsage, median_ms: float, now_ms: float) -> float:
     """Return an estimate of the requests of other instances that the target runs now.
 
-    They are known from the last shed, and half of them are assumed to end per median latency.
+    They are known from the last shed or report, and half of them are assumed to end per median
+    latency.
     """
     if usage.others_in_flight == 0.0 or median_ms == 0.0:
         return 0.0
--- a/savoryarch/targets/_state.py
+++ b/savoryarch/targets/_state.py
@@ -79,9 +79,9 @@
     latency_mean : RecentLatency
         Moving mean of its latencies.
     others_in_flight : float
-        Number of requests of other instances that the target ran when it last shed.
+        Number of requests of other instances that the target had when it last shed or reported.
     others_observed_at_ms : float
-        When it last shed.
+        When it last shed or reported the number of its requests.
     overdue_count : int
         Number of times that its attempts were overdue since its last timely reply.
     overdue_updated_at_ms : float
