--- a/tests/process/callers.py
+++ b/tests/process/callers.py
@@ -95,6 +95,12 @@
         """Return the requests that were cut, refused or answered without some shards."""
         return [sent for sent in self.sent if sent.status != 200 or '"left_out":[{' in sent.body]
 
+    def left_out(self):
+        """Return the shards that incomplete answers left out, with their reasons."""
+        return [
+            sent.body.partition('"left_out":')[2].partition("]")[0] for sent in self.incomplete()
+        ]
+
     def statuses(self):
         """Return the number of requests by status."""
         return Counter(sent.status for sent in self.sent)
--- a/tests/process/test_faults.py
+++ b/tests/process/test_faults.py
@@ -90,6 +90,7 @@
     finally:
         cluster.targets["zone-b"].send_signal(signal.SIGCONT)
     assert not callers.incomplete(), (
+        callers.left_out(),
         callers.statuses(),
         len(callers.incomplete()),
         callers.incomplete()[:2],
