--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -18,6 +18,7 @@
 )
 from savoryarch.targets._decide import decide_targets
 from savoryarch.targets._limits import (
+    MAX_SHARING_FAILURE_SHARE,
     connection_share,
     in_flight_limit,
     is_slow,
@@ -40,6 +41,7 @@
 from savoryarch.targets._target_chart import SUSPECTED
 
 __all__ = [
+    "MAX_SHARING_FAILURE_SHARE",
     "SUSPECTED",
     "ChoicePolicy",
     "LeastExpectedLatency",
