Discovery and all decisions: copy with the fast replace; a change that shows life costs no state

Cause: each instance reads a change for each heartbeat of each target, and copied the state of discovery three times for it with the slow `replace` of dataclasses, also if nothing had changed. Change: an entry that is as before leaves the state as it is; all decisions use the fast `replace`.

--- a/savoryarch/admission/_decide.py
+++ b/savoryarch/admission/_decide.py
@@ -1,6 +1,6 @@
 """Admits, queues, rejects and expires requests."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from savoryarch.admission._fair_queue import IsWaiting
 from savoryarch.admission._limit import Sample, is_idle, make_limit, update_limit
@@ -17,7 +17,7 @@
 from savoryarch.admission._state import AdmissionState, Backlog, Pool, Running
 from savoryarch.admission._ticket import AdmissionOutcome, Admitted, Queued, Rejected, Ticket
 from savoryarch.model import RefusalReason
-from savoryarch.utils import heap_pop, heap_push
+from savoryarch.utils import heap_pop, heap_push, replace
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/admission/_fair_queue.py
+++ b/savoryarch/admission/_fair_queue.py
@@ -1,12 +1,12 @@
 """Start-time fair queueing between callers, and between the searches of each caller."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from savoryarch.admission._ticket import Ticket
-from savoryarch.utils import Heap, heap_pop, heap_push
+from savoryarch.utils import Heap, heap_pop, heap_push, replace
 
 IsWaiting = Callable[[Ticket], bool]
 
--- a/savoryarch/admission/_limit.py
+++ b/savoryarch/admission/_limit.py
@@ -1,8 +1,9 @@
 """The adaptive limit on the sub-requests in flight of one pool."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from savoryarch.admission._settings import AdaptiveLimit, AdmissionSettings, FixedLimit, NoLimit
+from savoryarch.utils import replace
 
 _IDLE_SHARE = 0.5  # share of the limit up to which a pool counts as idle
 _IDLE_GAIN = 0.05  # relative step of the idle latency per sample
--- a/savoryarch/admission/_pool.py
+++ b/savoryarch/admission/_pool.py
@@ -1,13 +1,12 @@
 """Operations on one pool: its classes, their backlogs, and which class is served next."""
 
-from dataclasses import replace
-
 from savoryarch.admission._fair_queue import IsWaiting, add_ticket, serve_ticket
 from savoryarch.admission._limit import completions_per_ms
 from savoryarch.admission._settings import AdmissionSettings
 from savoryarch.admission._state import Backlog, ClassQueue, Pool
 from savoryarch.admission._ticket import Ticket
 from savoryarch.model import Priority
+from savoryarch.utils import replace
 
 _RANKS = {Priority.URGENT: 0, Priority.NORMAL: 1, Priority.BATCH: 2}
 _MAX_CREDIT = 100.0  # sub-requests; bounds how long a class runs ahead of the higher ones
--- a/savoryarch/configuration/_changes.py
+++ b/savoryarch/configuration/_changes.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import replace
 
 from savoryarch.configuration._dissemination import disseminate_change
 from savoryarch.configuration._evaluate import (
@@ -52,6 +51,7 @@
     SwapKey,
     Swapped,
 )
+from savoryarch.utils import replace
 
 RETRY_TIMER = "configuration/change-retry"
 ACKNOWLEDGE_TIMER = "configuration/acknowledge"
--- a/savoryarch/configuration/_decide.py
+++ b/savoryarch/configuration/_decide.py
@@ -1,7 +1,5 @@
 """Dispatches events to the decisions of the configuration component."""
 
-from dataclasses import replace
-
 from savoryarch.configuration._changes import (
     ACKNOWLEDGE_TIMER,
     DEADLINE_TIMER,
@@ -57,6 +55,7 @@
     StoreReplied,
     TimerFired,
 )
+from savoryarch.utils import replace
 
 ANNOUNCE_TIMER = "configuration/announce"
 
--- a/savoryarch/configuration/_dissemination.py
+++ b/savoryarch/configuration/_dissemination.py
@@ -1,7 +1,5 @@
 """Applies new configurations and disseminates them between peers by gossip."""
 
-from dataclasses import replace
-
 from immutables import Map
 
 from savoryarch.configuration._record import apply_delta, descends_from, make_delta
@@ -27,6 +25,7 @@
     PublishEvent,
     SendToPeer,
 )
+from savoryarch.utils import replace
 
 # Largest payload of one part, and largest number of parts that a receiver accepts.
 PART_BYTES = 32 * 1024
--- a/savoryarch/configuration/_evaluate.py
+++ b/savoryarch/configuration/_evaluate.py
@@ -1,6 +1,6 @@
 """Evaluates a requested change against the configuration in the store."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from savoryarch.configuration._checks import check_declarations
 from savoryarch.configuration._record import (
@@ -24,7 +24,7 @@
     RestoreChoice,
     SettleRestore,
 )
-from savoryarch.utils import Finding, Place
+from savoryarch.utils import Finding, Place, replace
 
 # Largest value that the store accepts.
 MAX_VALUE_BYTES = 1024 * 1024
--- a/savoryarch/configuration/_following.py
+++ b/savoryarch/configuration/_following.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import replace
 
 from savoryarch.configuration._dissemination import apply_record
 from savoryarch.configuration._sampling import rendezvous_rank
@@ -36,6 +35,7 @@
     WatchCompacted,
     WatchKeys,
 )
+from savoryarch.utils import replace
 
 RETRY_TIMER = "configuration/store"
 # Time after which a watcher lists the store again instead of continuing to watch.
--- a/savoryarch/configuration/_notices.py
+++ b/savoryarch/configuration/_notices.py
@@ -1,9 +1,8 @@
 """Notices to operators about conditions of the configuration that need their decision."""
 
-from dataclasses import replace
-
 from savoryarch.configuration._state import ConfigurationDecided, ConfigurationState
 from savoryarch.model import ClearNotice, Decided, Notice, RaiseNotice, RestoreChoice
+from savoryarch.utils import replace
 
 RESTORED_NOTICE = "configuration-restored"
 UNCONFIRMED_NOTICE = "configuration-unsettled"
--- a/savoryarch/configuration/_record.py
+++ b/savoryarch/configuration/_record.py
@@ -1,6 +1,6 @@
 """Computes new configuration records, and deltas between records."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 from immutables import Map
@@ -21,6 +21,7 @@
     RevisionConflict,
     resource_key,
 )
+from savoryarch.utils import replace
 
 # Numbers of versions and of deletions that a record retains.
 HISTORY_LIMIT = 64
--- a/savoryarch/configuration/_state.py
+++ b/savoryarch/configuration/_state.py
@@ -1,7 +1,7 @@
 """State of the configuration component on one instance."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
@@ -15,6 +15,7 @@
     Decided,
     RecordCodec,
 )
+from savoryarch.utils import replace
 
 CONFIGURATION_KEY = "configuration/current"
 CONFIGURATION_PREFIX = "configuration/"
--- a/savoryarch/configuration/_status.py
+++ b/savoryarch/configuration/_status.py
@@ -1,7 +1,5 @@
 """Status of the configuration on all instances."""
 
-from dataclasses import replace
-
 from savoryarch.configuration._state import (
     ConfigurationDecided,
     ConfigurationState,
@@ -17,7 +15,7 @@
     InstanceStatus,
     SetTimer,
 )
-from savoryarch.utils import sorted_items
+from savoryarch.utils import replace, sorted_items
 
 STATUS_TIMER = "configuration/status/"
 # Time after which a status request is answered without the missing announcements.
--- a/savoryarch/discovery/_decide.py
+++ b/savoryarch/discovery/_decide.py
@@ -1,7 +1,5 @@
 """Reads the entries of the store and registers this instance, by the chart ``discovery``."""
 
-from dataclasses import replace
-
 from savoryarch.charts import load_chart
 from savoryarch.discovery._entries import apply_changes, apply_full_list, remove_lapsed_targets
 from savoryarch.discovery._polling import (
@@ -42,6 +40,7 @@
 from savoryarch.model.forwarding import (
     RegisteredInstance,
 )
+from savoryarch.utils import replace
 
 CHART = load_chart(
     "discovery",
--- a/savoryarch/discovery/_entries.py
+++ b/savoryarch/discovery/_entries.py
@@ -1,7 +1,7 @@
 """Applies entries of the store to the state, and publishes what changed."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from immutables import Map
 
@@ -33,7 +33,7 @@
     TableInForce,
     TargetsDiscovered,
 )
-from savoryarch.utils import sorted_items
+from savoryarch.utils import replace, sorted_items
 
 # Connections that a target accepts if the forwarding table does not name its service.
 DEFAULT_CONNECTION_LIMIT = 16
@@ -159,6 +159,8 @@
     """Add or update a target, and log a new or changed registration."""
     state = result.state
     previous = state.targets.get(key)
+    if previous == target and key not in state.lapsed:
+        return result  # most changes only show that the target lives
     lapsed = state.lapsed.delete(key) if key in state.lapsed else state.lapsed
     state = replace(state, targets=state.targets.set(key, target), lapsed=lapsed)
     if previous == target:
--- a/savoryarch/discovery/_polling.py
+++ b/savoryarch/discovery/_polling.py
@@ -6,8 +6,6 @@
 at the shortest interval.
 """
 
-from dataclasses import replace
-
 from xxhash import xxh3_64_intdigest
 
 from savoryarch.discovery._messages import StoreRevisionAdvanced
@@ -19,6 +17,7 @@
     PeersChanged,
     SetTimer,
 )
+from savoryarch.utils import replace
 
 POLL_TIMER = "discovery/poll"
 # Live instances up to which each polls at the shortest interval. Small sites have as many.
--- a/savoryarch/membership/_decide.py
+++ b/savoryarch/membership/_decide.py
@@ -1,7 +1,5 @@
 """Decides on the events of the membership."""
 
-from dataclasses import replace
-
 import xxhash
 
 from savoryarch.membership._dissemination import limit_digests, make_ack
@@ -51,7 +49,7 @@
     Started,
     TimerFired,
 )
-from savoryarch.utils import sorted_items
+from savoryarch.utils import replace, sorted_items
 
 
 def decide_membership(
--- a/savoryarch/membership/_dissemination.py
+++ b/savoryarch/membership/_dissemination.py
@@ -1,11 +1,11 @@
 """Selects the membership updates that each heartbeat carries."""
 
-from dataclasses import replace
 from heapq import nsmallest
 from math import ceil, log10
 
 from savoryarch.membership._state import Member, MembershipState
 from savoryarch.model import Ack, ComponentDigest, MemberStatus, MemberUpdate, Ping
+from savoryarch.utils import replace
 
 SENDS_PER_DECADE = 4  # sends of an update for each power of ten of the number of members
 UPDATE_BYTES = 96  # encoded size of an update without its text fields
--- a/savoryarch/membership/_instance_list.py
+++ b/savoryarch/membership/_instance_list.py
@@ -1,7 +1,5 @@
 """Applies the platform's instance list, which lags behind the running instances."""
 
-from dataclasses import replace
-
 import xxhash
 
 from savoryarch.membership._state import CHART, Member, MembershipState, with_member
@@ -16,6 +14,7 @@
     MemberUpdate,
     SetTimer,
 )
+from savoryarch.utils import replace
 
 LIST_TIMER = "membership/list"
 JITTER_SHARE = 0.2  # an interval is shortened by up to this share
--- a/savoryarch/membership/_probe.py
+++ b/savoryarch/membership/_probe.py
@@ -1,7 +1,5 @@
 """Probes of the failure detector: selection, time-outs, indirect probes and suspicions."""
 
-from dataclasses import replace
-
 from immutables import Map
 
 from savoryarch.membership._dissemination import make_ping
@@ -15,6 +13,7 @@
 )
 from savoryarch.membership._updates import apply_event, chain_decisions, request_refutation
 from savoryarch.model import Count, Decided, LogEvent, ProbeRequest, SendToPeer, SetTimer
+from savoryarch.utils import replace
 
 TICK_TIMER = "membership/tick"
 
--- a/savoryarch/membership/_state.py
+++ b/savoryarch/membership/_state.py
@@ -1,12 +1,13 @@
 """State of the membership: the members, the open probes and the updates to disseminate."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from savoryarch.charts import load_chart
 from savoryarch.membership._settings import MembershipSettings
 from savoryarch.model import ComponentDigest, ListedState, MemberStatus, MemberUpdate
+from savoryarch.utils import replace
 
 ACTIONS = frozenset(
     {
--- a/savoryarch/membership/_updates.py
+++ b/savoryarch/membership/_updates.py
@@ -1,7 +1,6 @@
 """Applies membership updates and local observations to a member's chart, ``member.ini``."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from math import log10
 from typing import Any
 
@@ -26,6 +25,7 @@
     PublishEvent,
     SendToPeer,
 )
+from savoryarch.utils import replace
 
 _EVENT_BY_STATUS = {
     MemberStatus.LIVE: "live_update",
--- a/savoryarch/membership/_view_comparison.py
+++ b/savoryarch/membership/_view_comparison.py
@@ -5,13 +5,12 @@
 the updates that the other may not have.
 """
 
-from dataclasses import replace
-
 import xxhash
 
 from savoryarch.membership._dissemination import make_comparison_ping
 from savoryarch.membership._state import MembershipState
 from savoryarch.model import Count, Decided, MemberStatus, SendToPeer
+from savoryarch.utils import replace
 
 
 def compute_live_digest(state: MembershipState) -> int:
--- a/savoryarch/membership/_zones.py
+++ b/savoryarch/membership/_zones.py
@@ -1,10 +1,10 @@
 """Detects availability zones whose entry instances are all unreachable."""
 
 from collections import defaultdict
-from dataclasses import replace
 
 from savoryarch.membership._state import LIVE_STATES, MembershipState
 from savoryarch.model import Count, Decided, LogEvent, PublishEvent, UnreachableZonesChanged
+from savoryarch.utils import replace
 
 
 def detect_unreachable_zones(state: MembershipState, now_ms: float) -> Decided[MembershipState]:
--- a/savoryarch/notices/_causes.py
+++ b/savoryarch/notices/_causes.py
@@ -1,13 +1,14 @@
 """Derives the causes of notices from the observed state of the instance."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from immutables import Map
 
 from savoryarch.model import Notice
 from savoryarch.notices._observe import TierObserved
 from savoryarch.notices._settings import NoticesSettings
+from savoryarch.utils import replace
 
 MS_PER_DAY = 86_400_000.0
 MAX_TRACKED_FINGERPRINTS = 1_000
--- a/savoryarch/notices/_notices.py
+++ b/savoryarch/notices/_notices.py
@@ -1,6 +1,6 @@
 """Opens and closes notices, one for each cause."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
@@ -17,6 +17,7 @@
 from savoryarch.notices._causes import Recurrence, find_causes, update_recurrences
 from savoryarch.notices._observe import TierObserved
 from savoryarch.notices._settings import NoticesSettings
+from savoryarch.utils import replace
 
 MAX_OPEN_NOTICES = 100
 OBSERVE_TIMER = "notices/observe"
--- a/savoryarch/orders/_bucket.py
+++ b/savoryarch/orders/_bucket.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import replace
 from types import MappingProxyType
 
 from immutables import Map
@@ -44,7 +43,7 @@
 )
 from savoryarch.orders._ownership import owner_of
 from savoryarch.orders._state import Bucket, DecisionContext, PendingOutcome
-from savoryarch.utils import sorted_items
+from savoryarch.utils import replace, sorted_items
 
 # Limit of the exponent of the pause, which would exceed the range of a float in a long outage.
 _MAX_PAUSE_DOUBLINGS = 16
--- a/savoryarch/orders/_claims.py
+++ b/savoryarch/orders/_claims.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from hashlib import blake2b
 
 from immutables import Map
@@ -26,6 +26,7 @@
     RouteDone,
 )
 from savoryarch.orders._settings import OrdersSettings
+from savoryarch.utils import replace
 
 DIGEST_BYTES = 16
 FINGERPRINT_BYTES = 8
--- a/savoryarch/orders/_decide.py
+++ b/savoryarch/orders/_decide.py
@@ -1,7 +1,5 @@
 """Dispatches events to orders and buckets, and delivers the resolutions of claims."""
 
-from dataclasses import replace
-
 from savoryarch.model import (
     AnswerRoute,
     AttemptEnded,
@@ -46,7 +44,7 @@
 )
 from savoryarch.orders._write_rate import write_queued_buckets
 from savoryarch.targets import TargetsState, end_attempt
-from savoryarch.utils import sorted_items
+from savoryarch.utils import replace, sorted_items
 
 _PREFIX = "orders/"
 
--- a/savoryarch/orders/_order.py
+++ b/savoryarch/orders/_order.py
@@ -1,7 +1,6 @@
 """Handles one request from its claim to its outcome, along the chart ``order``."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import replace
 from types import MappingProxyType
 
 from savoryarch.charts import load_chart
@@ -56,6 +55,7 @@
 from savoryarch.orders._state import DecisionContext, Order, PendingOutcome, RelayedOutcome
 from savoryarch.orders._submission import submit_claim, submit_outcome, withdraw_claim
 from savoryarch.targets import choose_target, start_attempt
+from savoryarch.utils import replace
 
 Action = Callable[[DecisionContext, Order, object], DecisionContext]
 
--- a/savoryarch/orders/_state.py
+++ b/savoryarch/orders/_state.py
@@ -1,6 +1,6 @@
 """State of orders, and the context of one decision on it."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 from immutables import Map
@@ -16,6 +16,7 @@
 )
 from savoryarch.orders._claims import BucketValue, PendingClaim
 from savoryarch.orders._settings import OrdersSettings
+from savoryarch.utils import replace
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/orders/_submission.py
+++ b/savoryarch/orders/_submission.py
@@ -1,12 +1,10 @@
 """Adds claims and outcomes to their buckets, and removes them again."""
 
-from dataclasses import replace
-
 from savoryarch.model import Claim, Claimant, ClaimFailed
 from savoryarch.orders._bucket import BUCKET_CHART, allowed_failures, step_bucket
 from savoryarch.orders._claims import PendingClaim, bucket_of
 from savoryarch.orders._state import Bucket, DecisionContext, PendingOutcome
-from savoryarch.utils import sorted_items
+from savoryarch.utils import replace, sorted_items
 
 
 def submit_claim(context: DecisionContext, pending: PendingClaim) -> DecisionContext:
--- a/savoryarch/search/_admission.py
+++ b/savoryarch/search/_admission.py
@@ -1,7 +1,5 @@
 """Admits queries through `savoryarch.admission`, and reports to it when they have ended."""
 
-from dataclasses import replace
-
 from savoryarch.admission import (
     Admitted,
     Queued,
@@ -16,6 +14,7 @@
 from savoryarch.search._query_chart import step_query
 from savoryarch.search._snapshots import choose_snapshot
 from savoryarch.search._state import Query, SearchState
+from savoryarch.utils import replace
 
 ADMISSION_TIMER = "search/admission"
 
--- a/savoryarch/search/_attempt_chart.py
+++ b/savoryarch/search/_attempt_chart.py
@@ -1,7 +1,6 @@
 """Steps attempts through the chart ``attempt``: parts, failures, hedges, retries and restarts."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 from savoryarch.charts import load_chart
 from savoryarch.model import (
@@ -49,7 +48,7 @@
 from savoryarch.search._snapshots import best_snapshot
 from savoryarch.search._state import Attempt, PendingShard, Purpose
 from savoryarch.targets import has_serving_target, record_overdue, record_unserved_snapshot
-from savoryarch.utils import sorted_items
+from savoryarch.utils import replace, sorted_items
 
 Action = Callable[[DecisionContext, Attempt], DecisionContext]
 
--- a/savoryarch/search/_context.py
+++ b/savoryarch/search/_context.py
@@ -1,10 +1,11 @@
 """The context of a decision on one query: state, targets and effects so far."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from savoryarch.model import AttemptEnded, DecidedOnTargets
 from savoryarch.search._state import PendingShard, Query, SearchState
 from savoryarch.targets import TargetsState
+from savoryarch.utils import replace
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/search/_decide.py
+++ b/savoryarch/search/_decide.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import replace
 
 from immutables import Map
 
@@ -54,6 +53,7 @@
 from savoryarch.search._sending import CAPACITY_TIMER, OVERDUE_TIMER
 from savoryarch.search._state import Attempt, Query, SearchState
 from savoryarch.targets import TargetsState, end_attempt, has_capacity
+from savoryarch.utils import replace
 
 DecidedSearch = DecidedOnTargets[SearchState, TargetsState]
 
--- a/savoryarch/search/_query_chart.py
+++ b/savoryarch/search/_query_chart.py
@@ -1,7 +1,6 @@
 """Steps queries through the chart ``query``: fan-out, coverage, answers and refusals."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 from immutables import Map
 
@@ -34,7 +33,7 @@
 from savoryarch.search._snapshots import shard_services
 from savoryarch.search._state import PendingShard, Purpose
 from savoryarch.targets import choose_trial_target, has_serving_target
-from savoryarch.utils import Budget, add_tokens, sorted_items
+from savoryarch.utils import Budget, add_tokens, replace, sorted_items
 
 ANSWER_TIMER = "search/due/"
 EARLY_ANSWER_TIMER = "search/early/"
--- a/savoryarch/search/_sending.py
+++ b/savoryarch/search/_sending.py
@@ -1,7 +1,5 @@
 """Sends the attempts of a shard, or queues the shard until a target has capacity."""
 
-from dataclasses import replace
-
 from savoryarch.model import (
     CancelAttempt,
     Count,
@@ -16,7 +14,7 @@
 from savoryarch.search._settings import FixedDelayHedging, NoHedging, QuantileHedging
 from savoryarch.search._state import Attempt, PendingShard, Purpose, SearchState
 from savoryarch.targets import choose_target, is_slow, start_attempt
-from savoryarch.utils import Budget, spend_tokens
+from savoryarch.utils import Budget, replace, spend_tokens
 
 CAPACITY_TIMER = "search/room/"
 OVERDUE_TIMER = "search/slow/"
--- a/savoryarch/search/_snapshots.py
+++ b/savoryarch/search/_snapshots.py
@@ -1,11 +1,11 @@
 """Chooses the snapshot that all parts of an answer come from."""
 
 from collections.abc import Iterator
-from dataclasses import replace
 
 from savoryarch.model import Search, ShardMap, SnapshotId
 from savoryarch.search._state import ChosenSnapshot, SearchState
 from savoryarch.targets import TargetsState
+from savoryarch.utils import replace
 
 
 def shard_services(search: Search, snapshot: SnapshotId) -> tuple[str, ...]:
--- a/savoryarch/shutdown/_decide.py
+++ b/savoryarch/shutdown/_decide.py
@@ -1,6 +1,6 @@
 """Decisions on the shutdown of an instance, along the chart ``shutdown``."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from savoryarch.charts import load_chart
 from savoryarch.model import (
@@ -23,7 +23,7 @@
 from savoryarch.model.forwarding import (
     TargetsDiscovered,
 )
-from savoryarch.utils import Boolean, Number, setting
+from savoryarch.utils import Boolean, Number, replace, setting
 
 LAG_TIMER = "shutdown/lag"
 DEADLINE_TIMER = "shutdown/deadline"
