--- a/savoryarch/forwarding/_admission.py
+++ b/savoryarch/forwarding/_admission.py
@@ -18,17 +18,14 @@
     ToShards,
 )
 from savoryarch.quarantine import Quarantined, check_request, fingerprint_request
-from savoryarch.targets import (
-    MAX_SHARING_FAILURE_SHARE,
-    TargetsState,
-    measure_load,
-    pause_ends_at_ms,
-)
+from savoryarch.targets import TargetsState, measure_load, pause_ends_at_ms
 from savoryarch.utils import replace
 
 # The bound on the load of a service is multiplied by a priority factor: 1 for the most urgent
 # routes, and less by this step for each priority below them.
 PRIORITY_STEP = 0.15
+# Share of failed attempts at a target above which an instance keeps to its share of the slots.
+MAX_SHARING_FAILURE_SHARE = 0.1
 MIN_PRIORITY_FACTOR = 0.4  # so that the least urgent routes are not starved
 # Stands for the route of a request that matches none; such a request is always refused.
 _NO_ROUTE = ForwardedRoute("", "", "/", ToService(""), True, 1000.0, 1000.0, 1, 0)
--- a/savoryarch/targets/__init__.py
+++ b/savoryarch/targets/__init__.py
@@ -18,7 +18,6 @@
 )
 from savoryarch.targets._decide import decide_targets
 from savoryarch.targets._limits import (
-    MAX_SHARING_FAILURE_SHARE,
     connection_share,
     in_flight_limit,
     is_slow,
@@ -41,7 +40,6 @@
 from savoryarch.targets._target_chart import SUSPECTED
 
 __all__ = [
-    "MAX_SHARING_FAILURE_SHARE",
     "SUSPECTED",
     "ChoicePolicy",
     "LeastExpectedLatency",
--- a/savoryarch/targets/_attempts.py
+++ b/savoryarch/targets/_attempts.py
@@ -190,17 +190,16 @@
     target_id, name = record.target.target_id, record.target.service
     service = state.services[name]
     previous = state.usages[target_id]
-    others_in_flight, others_observed_at_ms, reported_others = (
+    others_in_flight, others_observed_at_ms = (
         previous.others_in_flight,
         previous.others_observed_at_ms,
-        None,
     )
     if ended.target_in_flight is not None:
-        reported_others = float(max(0, ended.target_in_flight - previous.in_flight))
-        others_in_flight, others_observed_at_ms = reported_others, now_ms
+        others_in_flight = float(max(0, ended.target_in_flight - previous.in_flight))
+        others_observed_at_ms = now_ms
     usage = TargetUsage(
         in_flight=max(0, previous.in_flight - 1),
-        limit=raised_limit(record, previous, reported_others),
+        limit=raised_limit(record, previous),
         last_started_at_ms=previous.last_started_at_ms,
         last_replied_at_ms=now_ms,
         latency_mean=add_to_recent(previous.latency_mean, latency_ms, now_ms),
--- a/savoryarch/targets/_limits.py
+++ b/savoryarch/targets/_limits.py
@@ -6,8 +6,6 @@
 SHED_LIMIT_RATIO = 0.5  # multiplies the in-flight limit at each shed
 MIN_LIMIT = 1.0  # attempts in flight
 SLOW_OVERDUE_COUNT = 2  # a single overdue attempt is usual, two in a row are rare
-# Share of failed attempts at a target above which an instance keeps to its share of the slots.
-MAX_SHARING_FAILURE_SHARE = 0.1
 RESERVED_CONNECTIONS = 1  # for probes and cancellations
 
 
@@ -89,29 +87,11 @@
     return record.max_connections - RESERVED_CONNECTIONS
 
 
-def raised_limit(
-    record: TargetRecord, usage: TargetUsage, others_in_flight: float | None = None
-) -> float:
+def raised_limit(record: TargetRecord, usage: TargetUsage) -> float:
     """Return the in-flight limit after a reply.
 
-    It grows by one per `limit` replies, but only while attempts use all of it. If the target
-    reports that other instances leave slots free, and has refused and failed few attempts, it is at
-    least the number of these slots: after a start, or while other instances are out, many requests
-    come at once.
-
-    Parameters
-    ----------
-    record : TargetRecord
-        The target.
-    usage : TargetUsage
-        Its use before the reply.
-    others_in_flight : float or None
-        Requests of other instances by this reply; None if it reports none.
+    It grows by one per `limit` replies, but only while attempts use all of it.
     """
-    if others_in_flight is not None and usage.failure_share <= MAX_SHARING_FAILURE_SHARE:
-        free_slots = record.slots - others_in_flight
-        if free_slots > usage.limit:
-            return free_slots
     if usage.in_flight < int(usage.limit) or usage.limit >= record.slots:
         return usage.limit
     return min(float(record.slots), usage.limit + 1.0 / usage.limit)
--- a/savoryarch/targets/tests/test_limits.py
+++ b/savoryarch/targets/tests/test_limits.py
@@ -17,16 +17,13 @@
     ListedState,
     PartReturned,
     Shed,
-    Target,
     TargetEvidence,
     TargetEvidenceReceived,
 )
 from savoryarch.targets import (
     LeastExpectedLatency,
     RoundRobin,
-    TargetRecord,
     TargetsSettings,
-    TargetUsage,
     connection_share,
     decide_targets,
     end_attempt,
@@ -35,7 +32,6 @@
     record_overdue,
     start_attempt,
 )
-from savoryarch.targets._limits import raised_limit
 from savoryarch.targets.tests.test_evidence import (
     ANSWERED,
     PROBE_DRAINING,
@@ -202,21 +198,3 @@
     for _ in range(overdue):
         state = record_overdue(state, "t", 8.0, 110.0)
     assert choose(state, 110.0 + after_ms) == expected
-
-
-@pytest.mark.parametrize(
-    ("reported", "failure_share", "limit"),
-    [
-        (None, 0.0, 2.0),  # one in flight was all of the limit of one: it grows by one
-        (1, 0.0, 4.0),  # only the request of this instance: all slots are free
-        (2, 0.0, 3.0),
-        (4, 0.0, 2.0),
-        (9, 0.0, 2.0),
-        (1, 0.5, 2.0),  # a target that refuses is not believed
-    ],
-)
-def test_the_limit_rises_at_once_to_what_other_instances_leave_free(reported, failure_share, limit):
-    record = TargetRecord(Target("t", "s", "zone-a", "127.0.0.1", 1), 4, 20, "live")
-    usage = TargetUsage(in_flight=1, limit=1.0, failure_share=failure_share)
-    others = None if reported is None else float(max(0, reported - usage.in_flight))
-    assert raised_limit(record, usage, others) == limit
