--- a/savoryarch/forwarding/_admission.py
+++ b/savoryarch/forwarding/_admission.py
@@ -26,6 +26,7 @@
 PRIORITY_STEP = 0.15
 # Share of failed attempts at a target above which an instance keeps to its share of the slots.
 MAX_SHARING_FAILURE_SHARE = 0.1
+MAX_LOGGED_SERVICES = 4  # the shards of a search are mostly overloaded alike
 MIN_PRIORITY_FACTOR = 0.4  # so that the least urgent routes are not starved
 # Stands for the route of a request that matches none; such a request is always refused.
 _NO_ROUTE = ForwardedRoute("", "", "/", ToService(""), True, 1000.0, 1000.0, 1, 0)
@@ -149,6 +150,19 @@
     return RefusalReason.OVERLOADED if unserved > allowed_missing else None
 
 
+def format_load(context: DecisionContext) -> str:
+    """Return the load of overloaded services for the log, ``SERVICE:OWN+WAITING+OTHERS/SLOTS``."""
+    names = [name for name in context.forward.services if _is_overloaded(context, name)]
+    return ",".join(_format_service_load(context, name) for name in names[:MAX_LOGGED_SERVICES])
+
+
+def _format_service_load(context: DecisionContext, service: str) -> str:
+    load = measure_load(context.targets, service, context.now_ms)
+    waiting = len(context.state.waiting.get(service, ()))
+    others = f"{load.others_in_flight:.0f}" if load.reported_slots else "unknown"
+    return f"{service}:{load.own_in_flight}+{waiting}+{others}/{load.slots}"
+
+
 def _is_overloaded(context: DecisionContext, service: str) -> bool:
     """Return whether the requests in flight and waiting for a service have reached the bound.
 
--- a/savoryarch/forwarding/_decide.py
+++ b/savoryarch/forwarding/_decide.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from savoryarch.forwarding._admission import admit_request
+from savoryarch.forwarding._admission import admit_request, format_load
 from savoryarch.forwarding._context import (
     CAPACITY_TIMER,
     CHECK_TIMER,
@@ -33,6 +33,7 @@
     PeerMessageReceived,
     ProbeTarget,
     RecordHistogram,
+    RefusalReason,
     RequestIntakeStopped,
     SetTimer,
     SettingsReloaded,
@@ -125,7 +126,8 @@
     context, reason = admit_request(state, targets, event, now_ms)
     if reason is None:
         return _commit_context(check_completion(step_forward(context, "admitted")))
-    context = replace(context, forward=replace(context.forward, refusal=reason))
+    load = format_load(context) if reason is RefusalReason.OVERLOADED else ""
+    context = replace(context, forward=replace(context.forward, refusal=reason, load=load))
     return _commit_context(step_forward(context, "rejected"))
 
 
--- a/savoryarch/forwarding/_forward_chart.py
+++ b/savoryarch/forwarding/_forward_chart.py
@@ -170,6 +170,7 @@
         ("required", str(forward.required_count)),
         ("missing", _format_missing(forward)),
         ("targets", _format_targets(forward)),
+        ("load", forward.load),
         ("may_have_run", "yes" if forward.may_have_run else "no"),
         ("retry_after_ms", _format_retry_after(outcome)),
         ("table_version", str(table.version) if table else "none"),
--- a/savoryarch/forwarding/_state.py
+++ b/savoryarch/forwarding/_state.py
@@ -120,6 +120,8 @@
         When its timer is due.
     refusal : RefusalReason
         The reason that is given if it is refused.
+    load : str
+        For the log: the load of the services for which it was refused as overloaded.
     """
 
     event: ForwardRequested
@@ -136,6 +138,7 @@
     chart_state: str = "received"
     next_check_at_ms: float = NEVER_MS
     refusal: RefusalReason = RefusalReason.NO_TARGET
+    load: str = ""
 
     @property
     def request_id(self) -> str:
