Targets: the end of a connection that was idle for long is no evidence

Cause: targets close idle connections after a few seconds. The end of the last connection to a target counted as a sign of a crash: the target became suspected, was probed by a new connection, and became live again, once per idle timeout, for every target and every instance. Change: the end of a connection that was idle for as long as its target keeps idle connections is not reported; an earlier end still is. Result: a table of ends before and after that time; the two late ones fail without the change.

--- a/savoryarch/codec/_dialect.py
+++ b/savoryarch/codec/_dialect.py
@@ -35,11 +35,14 @@
     reports_every_close : bool
         Whether each connection that a target closes is evidence about the target. If not, only
         the close of its last connection is.
+    default_max_idle_ms : float
+        Time for which a connection may be idle, before the first reply of a target has stated one.
     """
 
     connect_timeout_ms: float
     probes_by_connecting: bool
     reports_every_close: bool
+    default_max_idle_ms: float
 
     def encode_attempt(self, send: SendAttempt, target: Target, remaining_ms: float) -> bytes:
         """Return the bytes of an attempt's request; `remaining_ms` is the time to its deadline."""
@@ -77,6 +80,7 @@
     connect_timeout_ms = 2000.0
     probes_by_connecting = False
     reports_every_close = True
+    default_max_idle_ms = float("inf")
 
     def encode_attempt(self, send: SendAttempt, target: Target, remaining_ms: float) -> bytes:
         """Return the bytes of an attempt's request."""
--- a/savoryarch/entry/_target_pool.py
+++ b/savoryarch/entry/_target_pool.py
@@ -100,6 +100,8 @@
         self._attempts: dict[str, AttemptOperation] = {}
         # Cancellations by the connection of the attempt that they cancel.
         self._cancels: dict[TargetConnection, CancelOperation] = {}
+        # Time for which the target keeps idle connections, by its last reply.
+        self._max_idle_ms = dialect.default_max_idle_ms
         self._pause_ms = 0.0
         self._paused_until_ms = float("-inf")
         self._pause_timer: Any = None
@@ -235,6 +237,8 @@
         self._connecting.discard(connection)
         if evidence is TargetEvidence.CONNECTION_CLOSED:
             self._update_pause(connection)
+            if self._is_idle_timeout(connection):
+                evidence = None
         if connection in self._idle:
             self._idle.remove(connection)
         if evidence is not None and self._is_reportable(evidence):
@@ -256,7 +260,21 @@
 
     def idle_until_ms(self, reply: HttpReply) -> float:
         """Return the time, on the process's clock, until which a connection may be reused."""
-        return self.clock.now_ms() + self.dialect.max_idle_ms(reply)
+        self._max_idle_ms = self.dialect.max_idle_ms(reply)
+        return self.clock.now_ms() + self._max_idle_ms
+
+    def _is_idle_timeout(self, connection: TargetConnection) -> bool:
+        """Return whether the target has closed a connection because it was idle for long.
+
+        That is no evidence of its state. If it counted as a lost connection, each target without
+        requests would be probed, and connected to, once per idle timeout by every instance.
+        """
+        if connection not in self._idle:
+            return False
+        now_ms = self.clock.now_ms()
+        if connection.served:
+            return now_ms >= connection.idle_until_ms
+        return now_ms - connection.opened_at_ms >= self._max_idle_ms
 
     def _is_reportable(self, evidence: TargetEvidence) -> bool:
         # A healthy target closes idle connections as well, whereas a crash closes all of them.
--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -24,6 +24,7 @@
     TargetEvidenceReceived,
     TimedOut,
 )
+from savoryarch.model.forwarding import ForwardedRequest
 from savoryarch.platform import PlatformDialect
 from savoryarch.utils import Clock
 
@@ -345,3 +346,38 @@
     harness.pool.cancel("a1")
     written = first.transport.value() + second.transport.value()
     assert b"DELETE /v1/requests/a1 HTTP/1.1" in written
+
+
+PLATFORM_REPLY = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: d\r\nKeep-Alive: timeout=5\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("is_used", "idle_s", "evidence"),
+    [
+        (True, 0.1, [TargetEvidence.CONNECTION_CLOSED]),
+        (True, 3.9, [TargetEvidence.CONNECTION_CLOSED]),
+        (True, 4.1, []),  # 0.8 of the idle timeout that the target states
+        (False, 3.9, [TargetEvidence.CONNECTION_CLOSED]),
+        (False, 4.1, []),
+    ],
+)
+def test_the_end_of_a_connection_that_was_idle_for_long_is_no_evidence(
+    harness, is_used, idle_s, evidence
+):
+    """Otherwise every instance probes each target without requests once per idle timeout."""
+    harness.pool.dialect = PlatformDialect()
+    harness.pool._max_idle_ms = PlatformDialect.default_max_idle_ms
+    harness.pool.keep_open(1)
+    protocol = harness.accept()
+    if is_used:
+        request = ForwardedRequest("r1", b"GET", b"/a/", "h", (), b"")
+        harness.pool.send(SendAttempt("forwarding/1", "t1", 10_000.0, request))
+        protocol.dataReceived(PLATFORM_REPLY)
+    harness.events.clear()
+    harness.reactor.advance(idle_s)
+    lose(protocol)
+    assert harness.received_evidence() == evidence
+    assert harness.pool.connection_count() == 0
--- a/savoryarch/platform/_wire.py
+++ b/savoryarch/platform/_wire.py
@@ -75,6 +75,7 @@
     connect_timeout_ms = 250.0
     probes_by_connecting = True  # a successful connection suffices as a probe
     reports_every_close = False  # only the close of a target's last connection is evidence
+    default_max_idle_ms = _DEFAULT_IDLE_MS
 
     def encode_attempt(self, send: SendAttempt, target: Target, remaining_ms: float) -> bytes:
         """Return the request of an attempt.
