Admission: the load of a service that is not declared is none

Cause: the new log field for refusals asked for the load of every service of the request; for a shard without a declared target that failed, so that the decision failed and the request had no answer. Found by reading the change. Change: such a service has no slots and no load. Result: the new case fails before the change and passes now.

--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -232,9 +232,8 @@
             request = request[sent_bytes:]
         # If the connection is lost, the transport reports that when it writes the rest.
         if request:
-            self._writes_immediately = (
-                False  # later bytes must not overtake those that are buffered
-            )
+            # Later bytes must not overtake those that are buffered.
+            self._writes_immediately = False
             self.transport.write(request)
 
     def _deliver_reply(self) -> None:
--- a/savoryarch/forwarding/tests/test_advice.py
+++ b/savoryarch/forwarding/tests/test_advice.py
@@ -225,3 +225,18 @@
     driver.targets = replace(driver.targets, live_instances=6)
     refused = run_load(driver, 600.0, others_in_flight)
     assert least_refused <= refused <= most_refused
+
+
+@pytest.mark.parametrize("gone", [0, 1])
+def test_an_overloaded_search_is_refused_also_if_a_shard_is_not_declared(gone):
+    """Each request gets an answer: the log of the load must not fail on a service without targets."""
+    driver = Driver(slots=1)
+    services = driver.targets.declared_services
+    for shard in SHARDS[:gone]:
+        services = services.delete(shard)
+    driver.feed(DeclarationsInForce(Declarations(2, services=services)))
+    names = [driver.send_request("/find/1") for _ in range(30)]
+    refusals = [item for name in names if isinstance(item := driver.outcome(name), Refused)]
+    assert refusals
+    assert {refusal.reason for refusal in refusals} == {RefusalReason.OVERLOADED}
+    assert len(refusals) + len(driver.state.forwards) == len(names)
--- a/savoryarch/targets/_choose.py
+++ b/savoryarch/targets/_choose.py
@@ -150,8 +150,13 @@
 
 
 def measure_load(state: TargetsState, service: str, now_ms: float) -> ServiceLoad:
-    """Return how much of a service is in use, by what this instance knows now."""
-    service_record = state.services[service]
+    """Return how much of a service is in use, by what this instance knows now.
+
+    A service that is not declared has no slots.
+    """
+    service_record = state.services.get(service)
+    if service_record is None:
+        return ServiceLoad(0, 0.0, 0, 0, 0.0)
     median_ms = service_record.latency_histogram.median_ms
     own, others, slots, reported_slots, failing = 0, 0.0, 0, 0, 0.0
     for target_id in service_record.target_ids:
