--- a/benchmarks/_profiled_entry.py
+++ b/benchmarks/_profiled_entry.py
@@ -1,6 +1,7 @@
 """An entry instance that samples its own stack: ``python -m benchmarks._profiled_entry FILE ...``.
 
-The samples are written to FILE when the process exits; the other arguments are those of the program.
+The samples are written to FILE when the process exits.
+The other arguments are those of the program.
 """
 
 import atexit
--- a/savoryarch/forwarding/tests/test_advice.py
+++ b/savoryarch/forwarding/tests/test_advice.py
@@ -229,7 +229,7 @@
 
 @pytest.mark.parametrize("gone", [0, 1])
 def test_an_overloaded_search_is_refused_also_if_a_shard_is_not_declared(gone):
-    """Each request gets an answer: the log of the load must not fail on a service without targets."""
+    """The log of the load must not fail on a service without targets: no answer would be sent."""
     driver = Driver(slots=1)
     services = driver.targets.declared_services
     for shard in SHARDS[:gone]:
