--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -30,6 +30,7 @@
 PLATFORM_NAMES = re.compile(
     r"kv-(txn|range|watch|key|keep|lease)|[Nn]ot-[Ee]xecuted|[Rr]esponse-[Ss]tamp|Part-Stamps"
     r"|Missing-Parts|op/config|slo-ms|(?<!x-)[Dd]eadline-[Mm]s:|[Ee]xpect-[Ii]nstance|min-coverage"
+    r"|[Ss]erver-[Ll]eaving|[Ss]erver-[Ll]oad"
 )
 
 
