--- a/savoryarch/forwarding/tests/guards.py
+++ b/savoryarch/forwarding/tests/guards.py
@@ -1,10 +1,15 @@
 """Guards of forwarding, discovery and target connections, each with tests that fail without it."""
 
+from savoryarch.model import Decided
 from tests.guard import Guard
 
 FORWARDING = "savoryarch/forwarding/tests/test_forwarding.py"
 DISCOVERY = "savoryarch/discovery/tests/test_discovery.py"
 POLLING = "savoryarch/discovery/tests/test_polling.py"
+ADVICE = "savoryarch/targets/tests/test_advice.py"
+ENTRIES = "savoryarch/platform/tests/test_odd_entries.py"
+FAULTS = "savoryarch/entry/tests/test_instance_faults.py"
+MEMORY = "savoryarch/entry/tests/test_reply_memory.py"
 POOL = "savoryarch/entry/tests/test_target_pool.py"
 
 AT_MOST_ONCE = "A non-idempotent request is sent again only if nothing of it ran."
@@ -15,6 +20,9 @@
 REFUSED = "A request that cannot be served is refused immediately."
 RETRY = "Clients that were refused together do not retry together."
 RECOVERY = "A target that has recovered gets requests again."
+LEAVING = "A target that says that it leaves gets nothing more."
+PAUSE = "A target that asks for a pause gets it."
+ROBUST = "One odd message or error concerns nothing else."
 CONFIGURATION = "A configuration comes into force in time, and no older one after it."
 
 
@@ -38,10 +46,22 @@
     return sub_request.excluded
 
 
-def _no_delay(forward, now_ms):
+def _no_delay(forward, now_ms, pause_ms=0.0):
     return 0.0
 
 
+def _keep_state(state, *_):
+    return Decided(state)
+
+
+def _decode_unguarded(state, key, value):
+    return state.codec.decode(key, value)
+
+
+def _do_nothing(*_):
+    return None
+
+
 def _no_evidence(before, state):
     return []
 
@@ -140,4 +160,52 @@
         _return_false,
         (f"{POOL}::test_a_target_that_resets_connections_is_connected_to_less_and_less_often",),
     ),
+    Guard(
+        "send nothing to a target that leaves",
+        LEAVING,
+        "savoryarch.targets._advice",
+        "apply_leaving",
+        _keep_state,
+        (f"{ADVICE}::test_a_start_that_leaves_gets_nothing_more_whatever_else_says",),
+    ),
+    Guard(
+        "hold requests back from a target that asked for a pause",
+        PAUSE,
+        "savoryarch.targets._advice",
+        "_hold_target",
+        _keep_state,
+        (f"{ADVICE}::test_a_target_gets_nothing_for_the_time_that_it_asked_for",),
+    ),
+    Guard(
+        "let an error of the decoder concern one entry",
+        ROBUST,
+        "savoryarch.discovery._entries",
+        "_decode_entry",
+        _decode_unguarded,
+        (f"{ENTRIES}::test_an_unexpected_error_of_the_decoder_concerns_one_entry",),
+    ),
+    Guard(
+        "treat a store call whose decision failed as failed",
+        ROBUST,
+        "savoryarch.entry._instance",
+        "EntryInstance._fail_store_call",
+        _do_nothing,
+        (f"{FAULTS}::test_the_store_is_followed_after_a_decision_on_a_reply_has_failed",),
+    ),
+    Guard(
+        "bound the memory of incomplete replies",
+        ROBUST,
+        "savoryarch.entry._reply_memory",
+        "ReplyMemory.update",
+        _do_nothing,
+        (f"{MEMORY}::test_the_largest_reply_is_closed_above_the_limit",),
+    ),
+    Guard(
+        "ignore the end of connections that were idle for long",
+        RECOVERY,
+        "savoryarch.entry._target_pool",
+        "TargetPool._is_idle_timeout",
+        _return_false,
+        (f"{POOL}::test_the_end_of_a_connection_that_was_idle_for_long_is_no_evidence",),
+    ),
 )
