--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -25,7 +25,7 @@
     TimedOut,
 )
 from savoryarch.model.forwarding import ForwardedRequest
-from savoryarch.platform import PlatformDialect
+from savoryarch.platform import DIGEST_HEADER, REQUEST_ID_HEADER, PlatformDialect
 from savoryarch.utils import Clock
 
 SNAPSHOT = SnapshotId(1, 42)
@@ -349,9 +349,9 @@
 
 
 PLATFORM_REPLY = (
-    b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: d\r\nKeep-Alive: timeout=5\r\n"
-    b"Content-Length: 0\r\n\r\n"
-)
+    f"HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: r1\r\n{DIGEST_HEADER}: d\r\n"
+    "Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"
+).encode()
 
 
 @pytest.mark.parametrize(
