review: show that bodies without end use up the memory of a process

Cause: the limit on incomplete replies counts bytes on the wire, while each chunk is kept as an object that takes several times as much.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -34,6 +34,7 @@
     "retry-extra": 58,
     "recovery-s": 12,
 }
+MEMORY_MB = 560
 START_TIMEOUT_S = 20.0
 
 
@@ -92,7 +93,7 @@
             "ip": "127.0.0.1",
             "internal-ports": ports[2:],
             "listen": {"front": f"127.0.0.1:{ports[0]}", "ready": f"127.0.0.1:{ports[1]}"},
-            "limits": {"memory-mb": 560, "max-fds": 8200},
+            "limits": {"memory-mb": MEMORY_MB, "max-fds": 8200},
             "bounds": BOUNDS,
             "platform": {"address": f"127.0.0.1:{store_port}"},
         }
@@ -135,6 +136,16 @@
         except (HTTPError, OSError):
             return False
 
+    def memory_mb(self) -> float:
+        """Return the memory that the process uses now."""
+        assert self._process is not None
+        try:
+            status = Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        match = re.search(r"VmRSS:\s+(\d+) kB", status)
+        return int(match[1]) * 1024 / 1e6 if match else 0.0
+
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
         assert self._process is not None
