--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,8 +21,8 @@
 CUT_AT_S, DRAIN_AT_S, HEAL_AT_S, EXIT_AT_S = 3.0, 13.0, 15.0, 25.0
 END_AT_S = 26.0
 PAUSE_S = 0.02
-NODES = 3
-CLIENTS_PER_NODE = 8
+NODES = 4
+CLIENTS_PER_NODE = 10
 
 
 async def play(record: Record) -> list[str]:
