review: show that a removed back end gets requests after one cut watch

Cause: one failed call counts as an outage of the store, after which removed entries are kept for a grace period.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -50,7 +50,7 @@
         faulty.answer = answer_and_add
     for backend in backends:
         await backend.start()
-    deployment = Deployment(store.port, NODES, record)
+    deployment = Deployment([store.port], NODES, record)
     answers: dict[str, Message | None] = {}
     try:
         await deployment.start()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -58,7 +58,7 @@
     faulty.refuse, full.refuse = refuse_some, refuse_as_full
     await faulty.start()
     await full.start()
-    deployment = Deployment(store.port, NODES, record)
+    deployment = Deployment([store.port], NODES, record)
     answers: dict[str, Message | None] = {}
     try:
         await deployment.start()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -42,7 +42,7 @@
     proxy.start(leaving.port)
     for backend in backends[1:]:
         await backend.start()
-    deployment = Deployment(store.port, NODES, record)
+    deployment = Deployment([store.port], NODES, record)
     drained_at = healed_at = float("inf")
     orders: dict[str, int | None] = {}
     try:
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -73,7 +73,7 @@
         make_endless(backends[1])
     for backend in backends:
         await backend.start()
-    deployment = Deployment(store.port, NODES, record)
+    deployment = Deployment([store.port], NODES, record)
     ends: dict[str, list[str]] = {node.name: [] for node in deployment.nodes}
     unanswered = 0
     try:
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -172,21 +172,26 @@
 
     Parameters
     ----------
-    store_port : int
-        Port of the store.
+    store_ports : list of int
+        Ports of the store; the nodes use them in turn.
     count : int
         Number of nodes.
     record : Record
         Gets a line per start and end.
     """
 
-    def __init__(self, store_port: int, count: int, record: Record) -> None:
+    def __init__(self, store_ports: list[int], count: int, record: Record) -> None:
         if not (ROOT / "target/app/main.py").exists():
             raise CannotRun("the build of the deploy file has not run")
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._record = record
         self.nodes = [
-            Node(f"front-{index + 1}", ZONES[index % len(ZONES)], store_port, self._folder)
+            Node(
+                f"front-{index + 1}",
+                ZONES[index % len(ZONES)],
+                store_ports[index % len(store_ports)],
+                self._folder,
+            )
             for index in range(count)
         ]
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -17,15 +17,15 @@
     Attributes
     ----------
     port : int
-        Port on which the store listens.
+        Port on which the store listens first; `open_port` adds others.
     cut_watch : callable
-        Called with the name of the calling process for each watch; if it returns True, the
-        connection is closed without an answer.
+        Called for each watch with the port on which it came; if it returns True, the connection is
+        closed without an answer.
     """
 
     def __init__(self) -> None:
         self.port = 0
-        self.cut_watch: Callable[[str], bool] = lambda peer: False
+        self.cut_watch: Callable[[int], bool] = lambda port: False
         self._revision = 100
         self._items: dict[str, dict] = {}
         self._events: list[dict] = []
@@ -33,12 +33,16 @@
         self._lease_ttl_s: dict[int, float] = {}
         self._last_lease = 1000
         self._changed = asyncio.Event()
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._servers: list[asyncio.Server] = []
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self.port = await self.open_port()
+
+    async def open_port(self) -> int:
+        """Listen on one more free loopback port, and return it."""
+        self._servers.append(await asyncio.start_server(self._serve, "127.0.0.1", 0))
+        return self._servers[-1].sockets[0].getsockname()[1]
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a key, and return the revision."""
@@ -67,12 +71,12 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
+        port = writer.get_extra_info("sockname")[1]
         try:
             while (request := await read_message(reader)) is not None:
                 url = urlsplit(request.target)
                 query = {name: values[0] for name, values in parse_qs(url.query).items()}
-                if url.path == "/kv-watch" and self.cut_watch(request.headers.get("host", "")):
+                if url.path == "/kv-watch" and self.cut_watch(port):
                     return
                 status, body = await self._answer(request, url.path, query)
                 data = json.dumps(body).encode()
@@ -85,7 +89,6 @@
         except ConnectionError:
             pass
         finally:
-            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, request: Message, path: str, query: dict) -> tuple[int, dict]:
