--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 
 from standins.backend import Backend  # noqa: E402
 from standins.case import ROUTE_HOST, encode_config, has_trouble, make_route, run_case  # noqa: E402
-from standins.client import Client  # noqa: E402
+from standins.client import Client, retry_delay_s  # noqa: E402
 from standins.deployment import Deployment  # noqa: E402
 from standins.http import Message  # noqa: E402
 from standins.record import Record  # noqa: E402
@@ -69,7 +69,7 @@
                 path = f"{PREFIX}{client.name}/{number}"
                 request_id, answer = await client.send("POST", ROUTE_HOST, path, 6000, b"order")
                 answers[request_id] = answer
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(PAUSE_S + retry_delay_s(answer))
 
         await asyncio.gather(*(order(client) for client in clients))
     finally:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 
 from standins.backend import Backend  # noqa: E402
 from standins.case import ROUTE_HOST, encode_config, has_trouble, make_route, run_case  # noqa: E402
-from standins.client import Client  # noqa: E402
+from standins.client import Client, retry_delay_s  # noqa: E402
 from standins.deployment import BOUNDS, Deployment  # noqa: E402
 from standins.proxy import Proxy  # noqa: E402
 from standins.record import Record  # noqa: E402
@@ -22,7 +22,7 @@
 END_AT_S = 26.0
 PAUSE_S = 0.02
 NODES = 4
-CLIENTS_PER_NODE = 10
+READERS_PER_NODE, BUYERS_PER_NODE = 6, 2
 
 
 async def play(record: Record) -> list[str]:
@@ -57,14 +57,16 @@
                 request_id, answer = await client.send(method, ROUTE_HOST, path, 6000, b"order")
                 if method == "POST":
                     orders[request_id] = answer.status if answer else None
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(PAUSE_S + retry_delay_s(answer))
 
         users = []
         for node in deployment.nodes:
-            for number in range(CLIENTS_PER_NODE):
-                client = Client(f"reader-{node.name}-{number}", node.front, record)
-                users.append(use(client, "GET", PREFIX))
-            users.append(use(Client(f"buyer-{node.name}", node.front, record), "POST", ORDERS_PREFIX))
+            for number in range(READERS_PER_NODE):
+                reader = Client(f"reader-{node.name}-{number}", node.front, record)
+                users.append(use(reader, "GET", PREFIX))
+            for number in range(BUYERS_PER_NODE):
+                buyer = Client(f"buyer-{node.name}-{number}", node.front, record)
+                users.append(use(buyer, "POST", ORDERS_PREFIX))
 
         async def sleep_until(at_s: float) -> None:
             await asyncio.sleep(started_at + at_s - time.monotonic())
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -10,7 +10,7 @@
 
 from standins.backend import Backend  # noqa: E402
 from standins.case import ROUTE_HOST, encode_config, has_trouble, make_route, run_case  # noqa: E402
-from standins.client import Client  # noqa: E402
+from standins.client import Client, retry_delay_s  # noqa: E402
 from standins.deployment import BOUNDS, Deployment  # noqa: E402
 from standins.record import Record  # noqa: E402
 from standins.store import Store  # noqa: E402
@@ -68,7 +68,7 @@
                 request_id, answer = await client.send(method, ROUTE_HOST, path, 6000, b"order")
                 if method == "POST":
                     orders[request_id] = answer.status if answer else None
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(PAUSE_S + retry_delay_s(answer))
 
         async def play_plan() -> None:
             nonlocal removed_at
