--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,6 +20,7 @@
 SPOILED_ONE_IN = 25  # answers of the faulty back end: a share of 0.04
 # The beginning of the answer that a full back end gives; it breaks off after the first header.
 ADDITIONAL_BYTES = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1"
+TROUBLE_S = 5.0  # the longest time of `garble` on the days of the site
 ROUNDS = 60
 PAUSE_S = 0.1
 NODES = 2
@@ -35,13 +36,13 @@
         Backend(f"i-{name}", "pedidos", zone, store, record)
         for name, zone in (("a", "sul-a"), ("b", "sul-b"))
     ]
-    faulty, answered = backends[0], 0
+    faulty, answered, started_at = backends[0], 0, float("inf")
 
     async def answer_and_add(writer: asyncio.StreamWriter, request: Message) -> None:
         nonlocal answered
         answered += 1
         await faulty.write_success(writer, request)
-        if answered % SPOILED_ONE_IN == 0:
+        if answered % SPOILED_ONE_IN == 0 and record.now_s() < started_at + TROUBLE_S:
             record.write(f"{faulty.instance_id} adds {ADDITIONAL_BYTES!r} after its answer")
             writer.write(ADDITIONAL_BYTES)
             await writer.drain()
@@ -54,6 +55,7 @@
     answers: dict[str, Message | None] = {}
     try:
         await deployment.start()
+        started_at = record.now_s()
         clients = [
             Client(f"client-{node.name}-{number}", node.front, record)
             for node in deployment.nodes
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,9 +17,10 @@
 
 PREFIX = "/orders/"
 REFUSED_ONE_IN = 25  # arrivals at the faulty back end: a share of 0.04
-ROUNDS = 100
+TROUBLE_S = 5.0  # the longest time of `garble` on the days of the site
+ROUNDS = 50
 PAUSE_S = 0.1
-NODES = 2
+NODES = 4
 
 
 async def play(record: Record) -> list[str]:
@@ -30,7 +31,7 @@
     faulty = Backend("i-a", "pedidos", "sul-a", store, record)
     full = Backend("i-b", "pedidos", "sul-b", store, record)
     extra_answers: dict[asyncio.StreamWriter, bytes] = {}
-    arrivals = 0
+    arrivals, started_at = 0, float("inf")
 
     async def refuse_as_full(writer: asyncio.StreamWriter, request: Message) -> bool:
         record.write(f"{full.instance_id} is full id={request.headers['request-id']}")
@@ -49,7 +50,7 @@
             return False
         record.write(f"{faulty.instance_id} is full id={request.headers['request-id']}")
         await faulty.write_refusal(writer, request)
-        if has_trouble():
+        if has_trouble() and record.now_s() < started_at + TROUBLE_S:
             extra_answers[writer] = faulty.encode(
                 "503 Service Unavailable", request, {"Not-Executed": "1"}
             )
@@ -62,6 +63,7 @@
     answers: dict[str, Message | None] = {}
     try:
         await deployment.start()
+        started_at = record.now_s()
         clients = [Client(f"client-{node.name}", node.front, record) for node in deployment.nodes]
 
         async def order(client: Client) -> None:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,14 +19,16 @@
 
 PREFIX = "/orders/"
 ENDLESS_ONE_IN = 20  # answers of a faulty back end: a share of 0.05
-CHUNK = b"4\r\nxxxx\r\n"
-BLOCK = CHUNK * 2048
-END_AT_S = 90.0
+CHUNK = b"2\r\nxx\r\n"
+BLOCK = CHUNK * 4096
+# The disruption lasts as long as `garble` on the days of the site, and comes again.
+TROUBLE_S, EVERY_S = 5.0, 8.0
+END_AT_S = 62.0
 # The rule counts machines whose processes end by themselves so often; it needs two of them.
 MAX_ENDS, MAX_MACHINES = 3, 2
 PAUSE_S = 0.1
 NODES = 2
-CLIENTS_PER_NODE = 8
+CLIENTS_PER_NODE = 16
 CHECK_INTERVAL_S = 0.1
 
 
@@ -40,13 +42,20 @@
         for name, zone in (("a", "sul-a"), ("b", "sul-b"), ("c", "sul-c"), ("d", "sul-a"))
     ]
 
+    started_at = float("inf")
+
+    def is_in_trouble() -> bool:
+        """Return whether the disruption lasts now."""
+        since_s = record.now_s() - started_at
+        return since_s >= 0 and since_s % EVERY_S < TROUBLE_S
+
     def make_endless(backend: Backend) -> None:
         answered = 0
 
         async def answer(writer: asyncio.StreamWriter, request: Message) -> None:
             nonlocal answered
             answered += 1
-            if answered % ENDLESS_ONE_IN:
+            if answered % ENDLESS_ONE_IN or not is_in_trouble():
                 await backend.write_success(writer, request)
                 return
             request_id = request.headers["request-id"]
@@ -57,14 +66,15 @@
             writer.write(head)
             sent = 0
             try:
-                while not writer.transport.is_closing():
+                while is_in_trouble() and not writer.transport.is_closing():
                     writer.write(BLOCK)
                     sent += len(BLOCK)
                     await writer.drain()
                     await asyncio.sleep(0)
             except ConnectionError:
                 pass
-            record.write(f"{backend.instance_id} was cut off after {sent} bytes id={request_id}")
+            writer.transport.abort()
+            record.write(f"{backend.instance_id} has sent {sent} bytes id={request_id}")
 
         backend.answer = answer
 
@@ -78,6 +88,7 @@
     unanswered = 0
     try:
         await deployment.start()
+        started_at = record.now_s()
         ends_at = time.monotonic() + END_AT_S
 
         async def order(client: Client) -> None:
