Replies: limits count the memory that a reply takes, not its bytes on the wire

Cause: the limits of 16 MiB for a reply and of a fifth of the memory for all replies compared the bytes received. The parser kept an object of 43 bytes or more for each chunk of 7 bytes. Measured with tracemalloc: chunks of 1, 2 and 16 bytes, reads of 50 bytes and short headers took more than was counted; trailers, interim replies and chunk extensions did not.

Change: a body is one buffer, and each header counts 400 bytes beside its text, also for the limit of a head. The process test has the form "chunks" now; its target sends a start and a piece, which may differ, as before otherwise.

--- a/savoryarch/codec/_reply_parser.py
+++ b/savoryarch/codec/_reply_parser.py
@@ -14,6 +14,9 @@
 # interim replies.
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 MAX_HEAD_BYTES = 64 * 1024
+# Memory of a header beside its text: a tuple of two objects, and an entry of a dict with two more.
+# Headers of a few bytes each would otherwise take over 50 times as much memory as is counted.
+HEADER_OVERHEAD_BYTES = 400
 _SLICE_BYTES = 16 * 1024  # fed at a time, so that the limits hold for large reads as well
 _FIRST_FINAL_STATUS = 200
 # A status line inside a reason phrase or a header value: a reply that broke off in its head, and
@@ -62,7 +65,8 @@
     Attributes
     ----------
     held_bytes : int
-        Bytes received for the reply that is not complete; 0 between replies.
+        Memory of the reply that is not complete, at least the bytes received for it; 0 between
+        replies.
     has_surplus : bool
         Whether more bytes followed a complete reply in the same call of `feed`. They belong to no
         request, and what is parsed after them is not reliable.
@@ -78,7 +82,7 @@
         self._in_head = False
         self._has_inner_status_line = False
         self._body_ends_at_close = False
-        self._body_chunks: list[bytes] = []
+        self._body = bytearray()
         self._bytes_without_body = 0
         self._progressed = False
         self._parser = HttpResponseParser(self)
@@ -92,7 +96,8 @@
         ------
         CodecError
             If the bytes are not HTTP, two replies share a head, a reply exceeds `MAX_REPLY_BYTES`,
-            or `MAX_HEAD_BYTES` are received without a byte of a body.
+            or `MAX_HEAD_BYTES` are received without a byte of a body; each header counts
+            `HEADER_OVERHEAD_BYTES` more.
         """
         try:
             for start in range(0, len(data), _SLICE_BYTES):
@@ -115,7 +120,10 @@
             raise CodecError("reply switches to another protocol") from error
         if self._has_inner_status_line:
             raise CodecError("got a status line inside the head of a reply")
-        self._bytes_without_body = 0 if self._progressed else self._bytes_without_body + len(data)
+        if self._bytes_without_body <= MAX_HEAD_BYTES:
+            self._bytes_without_body = (
+                0 if self._progressed else self._bytes_without_body + len(data)
+            )
         if self._bytes_without_body > MAX_HEAD_BYTES:
             raise CodecError(f"got over {MAX_HEAD_BYTES} bytes of a head or trailer")
         if self.held_bytes > MAX_REPLY_BYTES:
@@ -123,7 +131,7 @@
 
     def on_message_begin(self) -> None:
         """Start a reply; callback of httptools."""
-        self._headers, self._raw_headers, self._body_chunks = {}, [], []
+        self._headers, self._raw_headers, self._body = {}, [], bytearray()
         self._reason_end = b""
         self._in_head = True
         self.has_surplus = self.has_surplus or bool(self._replies)
@@ -141,6 +149,10 @@
             return
         if b"HTTP/" in value and _INNER_STATUS_LINE.search(value):
             self._has_inner_status_line = True
+        self._bytes_without_body += HEADER_OVERHEAD_BYTES
+        if self._bytes_without_body > MAX_HEAD_BYTES:
+            return
+        self.held_bytes += HEADER_OVERHEAD_BYTES
         self._raw_headers.append((name, value))
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
@@ -152,7 +164,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a chunk of the body to the current reply; callback of httptools."""
-        self._body_chunks.append(data)
+        # An object for each chunk would take several times the memory of a small chunk.
+        self._body += data
         self._progressed = True
 
     def on_message_complete(self) -> None:
@@ -162,7 +175,7 @@
             return
         self._replies.append(self._make_reply(self._parser.should_keep_alive()))
         self._progressed = True
-        self.held_bytes = 0
+        self.held_bytes = self._bytes_without_body = 0
 
     def finish(self) -> HttpReply | None:
         """Return the reply whose body ended when the target closed the connection.
@@ -181,7 +194,7 @@
     def _make_reply(self, keep_alive: bool) -> HttpReply:
         return HttpReply(
             self._parser.get_status_code(),
-            b"".join(self._body_chunks),
+            bytes(self._body),
             self._headers,
             keep_alive,
             tuple(self._raw_headers),
--- a/savoryarch/codec/tests/test_reply_limits.py
+++ b/savoryarch/codec/tests/test_reply_limits.py
@@ -4,6 +4,8 @@
 that arrives in pieces is copied with each piece.
 """
 
+import tracemalloc
+
 import pytest
 
 from savoryarch.codec import MAX_HEAD_BYTES, MAX_REPLY_BYTES, HttpReplyParser
@@ -108,3 +110,40 @@
         HttpReplyParser().feed(
             b"HTTP/1.1 101 X\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\nrest of it"
         )
+
+
+PIECES = {
+    "chunks of one byte": (CHUNKED, b"1\r\nx\r\n"),
+    "chunks of two bytes": (CHUNKED, b"2\r\nxx\r\n"),
+    "chunks of 16 bytes": (CHUNKED, b"10\r\n0123456789abcdef\r\n"),
+    "chunk extensions": (CHUNKED, b"1;a=b\r\nx\r\n"),
+    "short headers": (STATUS, b"a:\r\n"),
+    "other headers": (STATUS, None),
+    "short trailers": (CHUNKED + b"0\r\n", b"a:\r\n"),
+    "interim replies": (b"", b"HTTP/1.1 102 P\r\na:\r\n\r\n"),
+    "until the close": (STATUS + b"\r\n", b"x"),
+}
+
+
+@pytest.mark.parametrize("read_bytes", [50, 65_536])
+@pytest.mark.parametrize("name", PIECES)
+def test_a_reply_takes_no_more_memory_than_is_counted(name, read_bytes):
+    """Guards against a process that uses up its memory: small pieces took 20 times as much."""
+    start, piece = PIECES[name]
+    data = b"".join(b"h%d:\r\n" % number for number in range(80_000)) if piece is None else b""
+    data = data or piece * (600_000 // len(piece))
+    slack_bytes = 200_000  # the parser itself, one read and the spare room of growing containers
+    parsers = [HttpReplyParser() for _ in range(4)]
+    tracemalloc.start()
+    try:
+        for parser in parsers:
+            parser.feed(start)
+            try:
+                for position in range(0, len(data), read_bytes):
+                    parser.feed(data[position : position + read_bytes])
+            except CodecError:
+                assert parser.held_bytes <= MAX_REPLY_BYTES + 65_536
+        used_bytes = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert used_bytes <= sum(parser.held_bytes for parser in parsers) + slack_bytes
--- a/tests/process/test_troubled_neighbours.py
+++ b/tests/process/test_troubled_neighbours.py
@@ -21,12 +21,15 @@
 LEARNING_S = 1.5  # until the instance has read a change of the store
 DRAIN_DEADLINE_MS = 3000.0
 PAUSE_SLACK_MS = 500.0
-ENDLESS = (
-    b"HTTP/1.1 200 OK\r\n" + b"x-pad: 1\r\n" * 3000,
-    b"HTTP/1.1 200 OK\r\nx-pad: " + b"x" * 30_000,
-    b"HTTP/1.1 100 Continue\r\n\r\n" * 1500,
-    b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 30_000,
-)
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+# The start of a reply, and what follows it again and again.
+ENDLESS = {
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"x-pad: 1\r\n" * 1500),
+    "header value": (b"HTTP/1.1 200 OK\r\nx-pad: ", b"x" * 15_000),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 750),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 15_000),
+    "chunks": (CHUNKED, b"2\r\nxx\r\n" * 2500),
+}
 MAX_GROWTH_BYTES = 150_000_000
 
 
@@ -84,11 +87,11 @@
 class EndlessTarget:
     """Answers each request with a start, and then with bytes without end."""
 
-    def __init__(self, data):
+    def __init__(self, start, piece):
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port = self.listener.getsockname()[1]
         self.connections = []
-        self._data = data
+        self._start, self._piece = start, piece
         self._threads = [Thread(target=self._accept, daemon=True)]
         self._threads[0].start()
 
@@ -108,10 +111,9 @@
             try:
                 if not connection.recv(65_536):
                     return
-                connection.sendall(self._data)
-                piece = self._data[len(self._data) // 2 :]
+                connection.sendall(self._start)
                 while True:
-                    connection.sendall(piece)
+                    connection.sendall(self._piece)
             except OSError:
                 return
 
@@ -126,11 +128,11 @@
 
 
 @pytest.mark.process
-@pytest.mark.parametrize("data", ENDLESS, ids=["headers", "header value", "interim", "body"])
-def test_bytes_without_end_cost_the_instance_neither_memory_nor_other_callers(deployment, data):
+@pytest.mark.parametrize("form", ENDLESS)
+def test_bytes_without_end_cost_the_instance_neither_memory_nor_other_callers(deployment, form):
     entry, connection = deployment.start_entry()
     before_bytes = resident_bytes(entry.pid)
-    targets = [EndlessTarget(data) for _ in range(3)]
+    targets = [EndlessTarget(*ENDLESS[form]) for _ in range(3)]
     try:
         for number, target in enumerate(targets):
             value = make_entry(address=f"127.0.0.1:{target.port}")
