Connections: a request is not sent again on the connection of its refusal

Cause: all attempts of a request carry the client's Request-Id, and a reply belongs to an attempt by this id. An order that was sent to the same target again, on the same connection, took the second copy of its first refusal for its reply. A refusal without an id was accepted for any request.

Change: a connection keeps the ids of requests whose replies may be followed by another attempt (any unsuccessful status, or Not-Executed), until their deadlines, and does not carry them again. A reply without an id belongs to no request. The pause between connections moved to a module of its own, unchanged.

--- a/savoryarch/codec/_dialect.py
+++ b/savoryarch/codec/_dialect.py
@@ -47,9 +47,15 @@
     def encode_attempt(self, send: SendAttempt, target: Target, remaining_ms: float) -> bytes:
         """Return the bytes of an attempt's request; `remaining_ms` is the time to its deadline."""
 
+    def reply_id(self, send: SendAttempt) -> str:
+        """Return the id that the reply to an attempt carries."""
+
     def is_reply_to(self, reply: HttpReply, send: SendAttempt) -> bool:
         """Return whether a reply belongs to an attempt."""
 
+    def may_be_repeated(self, reply: HttpReply) -> bool:
+        """Return whether another attempt whose reply carries the same id may follow a reply."""
+
     def decode_attempt_reply(
         self, reply: HttpReply, send: SendAttempt
     ) -> tuple[AttemptReply, tuple[SnapshotId, ...], float | None]:
@@ -88,10 +94,18 @@
         host = f"{target.host}:{target.port}"
         return encode_attempt(send.attempt_id, host, remaining_ms, send.request)
 
+    def reply_id(self, send: SendAttempt) -> str:
+        """Return the id of the attempt."""
+        return send.attempt_id
+
     def is_reply_to(self, reply: HttpReply, send: SendAttempt) -> bool:
         """Return whether a reply repeats the id of an attempt."""
         return reply.header("x-request-id") == send.attempt_id
 
+    def may_be_repeated(self, reply: HttpReply) -> bool:
+        """Return False, because each attempt has an id of its own."""
+        return False
+
     def decode_attempt_reply(
         self, reply: HttpReply, send: SendAttempt
     ) -> tuple[AttemptReply, tuple[SnapshotId, ...], float | None]:
--- a/savoryarch/entry/_operations.py
+++ b/savoryarch/entry/_operations.py
@@ -52,8 +52,19 @@
         Time until the deadline.
     request_id : str
         Id that is sent in the request and that its reply must carry.
+
+    Attributes
+    ----------
+    shared_reply_id : str
+        Id that the replies to other attempts of the same request carry as well; empty if there are
+        no others.
+    expires_at_ms : float
+        Time from which no other attempt with that id is sent, on the clock of the process.
     """
 
+    shared_reply_id = ""
+    expires_at_ms = float("-inf")
+
     def __init__(self, pool: Pool, remaining_ms: float, request_id: str) -> None:
         self.connection: TargetConnection | None = None
         self.request = b""
@@ -76,6 +87,10 @@
         """Return whether the reply carries the id of this operation."""
         return reply.header("x-request-id") == self._request_id
 
+    def may_be_repeated(self, reply: HttpReply) -> bool:
+        """Return whether another attempt of the same request may follow a reply."""
+        return False
+
     def on_reply(self, reply: HttpReply) -> None:
         """End with a reply; ignored if the operation has ended."""
         if self._mark_ended():
@@ -144,6 +159,8 @@
         super().__init__(pool, effect.deadline_at_ms - pool.clock.now_ms(), effect.attempt_id)
         self._effect = effect
         self.repeatable = effect.repeatable
+        self.shared_reply_id = pool.dialect.reply_id(effect)
+        self.expires_at_ms = effect.deadline_at_ms
 
     def encode(self) -> bytes:
         """Return the request, which states the time that remains until the deadline."""
@@ -154,6 +171,10 @@
         """Return whether the reply belongs to this attempt, as the target's protocol tells."""
         return self._pool.dialect.is_reply_to(reply, self._effect)
 
+    def may_be_repeated(self, reply: HttpReply) -> bool:
+        """Return whether another attempt may follow, as the target's protocol tells."""
+        return self._pool.dialect.may_be_repeated(reply)
+
     def report_reply(self, reply: HttpReply) -> None:
         """Feed `AttemptEnded` with the decoded reply."""
         dialect = self._pool.dialect
--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -13,6 +13,8 @@
 
 # How long the reply to an abandoned request is awaited, so that its connection can be reused.
 ABANDONED_GRACE_S = 0.25
+# A connection that has carried the replies to so many requests that are not over is not reused.
+MAX_UNFINISHED_IDS = 256
 
 ACTIONS = frozenset(
     {
@@ -37,6 +39,11 @@
     """One request on a connection, and the callbacks for its outcome."""
 
     request: bytes
+    shared_reply_id: str
+    expires_at_ms: float
+
+    def may_be_repeated(self, reply: HttpReply) -> bool:
+        """Return whether another request with the same reply id may follow the reply."""
 
     def owns_reply(self, reply: HttpReply) -> bool:
         """Return whether the reply belongs to this request."""
@@ -74,6 +81,9 @@
     def idle_until_ms(self, reply: HttpReply) -> float:
         """Return the time, on the process's clock, until which the connection may be reused."""
 
+    def now_ms(self) -> float:
+        """Return the time on the process's clock."""
+
 
 class TargetConnection(TwistedProtocol):
     """One connection to a target; at most one request is outstanding on it.
@@ -110,6 +120,8 @@
         self._exchange: Exchange | None = None
         self._abandoned: Exchange | None = None
         self._reply: HttpReply | None = None
+        # Ids of replies whose requests may be sent again, with the time at which they are over.
+        self._unfinished_ids: dict[str, float] = {}
         self._held_bytes = 0
         self._writes_immediately = False
         self._failure_detail = ""
@@ -126,6 +138,14 @@
         self._exchange, self._abandoned = exchange, None
         self._step("assigned")
 
+    def may_carry(self, reply_id: str) -> bool:
+        """Return whether a request may be sent on this connection.
+
+        A target may send a second copy of a reply later. If the same request were sent again here,
+        that copy would be taken for the reply to its new attempt.
+        """
+        return reply_id not in self._unfinished_ids
+
     def abandon(self) -> None:
         """Ignore the reply to the outstanding request.
 
@@ -185,11 +205,23 @@
         self.idle_until_ms = self._owner.idle_until_ms(reply)
         if is_last:
             self._owner.connection_unusable(self, "got bytes after a complete reply")
-        if reply.keep_alive and not is_last:
+        if awaited is not None and awaited.may_be_repeated(reply):
+            self._record_unfinished(awaited)
+        if reply.keep_alive and not is_last and len(self._unfinished_ids) < MAX_UNFINISHED_IDS:
             self._step("replied")
         else:
             self._step("replied_last")
 
+    def _record_unfinished(self, exchange: Exchange) -> None:
+        if len(self._unfinished_ids) >= MAX_UNFINISHED_IDS // 2:
+            now_ms = self._owner.now_ms()
+            self._unfinished_ids = {
+                reply_id: at_ms
+                for reply_id, at_ms in self._unfinished_ids.items()
+                if at_ms > now_ms
+            }
+        self._unfinished_ids[exchange.shared_reply_id] = exchange.expires_at_ms
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Handle the end of the connection; called by Twisted."""
         if not self._closed and reason is not None and reason.check(ConnectionDone):
--- a/savoryarch/entry/_target_pool.py
+++ b/savoryarch/entry/_target_pool.py
@@ -14,6 +14,7 @@
     ProbeOperation,
     TargetOperation,
 )
+from savoryarch.entry._reconnect_pause import ReconnectPause
 from savoryarch.entry._reply_memory import ReplyMemory
 from savoryarch.entry._target_connection import TargetConnection
 from savoryarch.model import (
@@ -33,10 +34,6 @@
 # Targets state their idle timeout in whole seconds and may close a connection earlier than that, so
 # a non-idempotent request is not sent on a connection that has been idle for longer than this.
 MAX_NON_IDEMPOTENT_IDLE_MS = 500.0
-# A target that closes a connection so soon after accepting it has too many connections.
-EARLY_CLOSE_MS = 250.0
-# Pause before the next connection after an early close; doubled after each further one.
-FIRST_PAUSE_MS, MAX_PAUSE_MS = 100.0, 1600.0
 _MS_PER_S = 1000.0
 
 
@@ -102,8 +99,7 @@
         self._cancels: dict[TargetConnection, CancelOperation] = {}
         # Time for which the target keeps idle connections, by its last reply.
         self._max_idle_ms = dialect.default_max_idle_ms
-        self._pause_ms = 0.0
-        self._paused_until_ms = float("-inf")
+        self._pause = ReconnectPause()
         self._pause_timer: Any = None
 
     @property
@@ -211,8 +207,12 @@
         self._idle.append(connection)
         if len(self._open) > self._limit:
             self._retire(connection)
-        elif self._waiting:
-            self._assign(self._waiting.popleft())
+        elif (operation := self._first_waiting(connection)) is not None:
+            self._waiting.remove(operation)
+            self._assign(operation, connection)
+        elif self._waiting and len(self._open) >= self._limit:
+            # What waits may not be sent on this connection, only on one that replaces it.
+            self._retire(connection)
 
     def connection_opened(self, connection: TargetConnection) -> None:
         """Record that the target accepted a connection, and feed that as evidence."""
@@ -246,7 +246,9 @@
         self._open.discard(connection)
         self._connecting.discard(connection)
         if evidence is TargetEvidence.CONNECTION_CLOSED:
-            self._update_pause(connection)
+            self._pause.record_close(
+                connection.served, connection.opened_at_ms, self.clock.now_ms()
+            )
             if self._is_idle_timeout(connection):
                 evidence = None
         if connection in self._idle:
@@ -273,6 +275,10 @@
         self._max_idle_ms = self.dialect.max_idle_ms(reply)
         return self.clock.now_ms() + self._max_idle_ms
 
+    def now_ms(self) -> float:
+        """Return the time on the process's clock."""
+        return self.clock.now_ms()
+
     def _is_idle_timeout(self, connection: TargetConnection) -> bool:
         """Return whether the target has closed a connection because it was idle for long.
 
@@ -302,8 +308,9 @@
 
     def _submit(self, operation: TargetOperation) -> None:
         self._retire_stale()
-        if self._idle and (operation.repeatable or self._is_fresh(self._idle[-1])):
-            self._assign(operation)
+        connection = self._find_idle(operation)
+        if connection is not None:
+            self._assign(operation, connection)
             return
         if self._idle and len(self._open) >= self._limit:
             self._retire(self._idle[0])
@@ -311,6 +318,23 @@
         if len(self._connecting) < len(self._waiting):
             self._connect_if_allowed()
 
+    def _find_idle(self, operation: TargetOperation) -> TargetConnection | None:
+        """Return the idle connection on which an operation is sent now; None if there is none."""
+        # The most recently used connection is the least likely to be stale.
+        for connection in reversed(self._idle):
+            if not operation.repeatable and not self._is_fresh(connection):
+                return None
+            if connection.may_carry(operation.shared_reply_id):
+                return connection
+        return None
+
+    def _first_waiting(self, connection: TargetConnection) -> TargetOperation | None:
+        """Return the operation that has waited longest among those that a connection may carry."""
+        for operation in self._waiting:
+            if connection.may_carry(operation.shared_reply_id):
+                return operation
+        return None
+
     def _is_fresh(self, connection: TargetConnection) -> bool:
         return self.clock.now_ms() - connection.idle_since_ms <= MAX_NON_IDEMPOTENT_IDLE_MS
 
@@ -322,9 +346,8 @@
             self._waiting.remove(cancel)
             cancel.on_failure(NotSent("the cancelled request is over"))
 
-    def _assign(self, operation: TargetOperation) -> None:
-        # The most recently used connection is the least likely to be stale.
-        connection = self._idle.pop()
+    def _assign(self, operation: TargetOperation, connection: TargetConnection) -> None:
+        self._idle.remove(connection)
         operation.start(connection)
         connection.assign(operation)
 
@@ -332,17 +355,9 @@
         self._idle.remove(connection)
         connection.retire()
 
-    def _update_pause(self, connection: TargetConnection) -> None:
-        """Lengthen the pause after an early close: each such connection costs the target work."""
-        if connection.served:
-            self._pause_ms = 0.0
-        elif self.clock.now_ms() - connection.opened_at_ms <= EARLY_CLOSE_MS:
-            self._pause_ms = min(MAX_PAUSE_MS, max(FIRST_PAUSE_MS, 2.0 * self._pause_ms))
-            self._paused_until_ms = self.clock.now_ms() + self._pause_ms
-
     def _is_paused(self) -> bool:
         """Return whether no connection may be opened now, and schedule the end of the pause."""
-        remaining_ms = self._paused_until_ms - self.clock.now_ms()
+        remaining_ms = self._pause.remaining_ms(self.clock.now_ms())
         if remaining_ms <= 0.0 or self._limit == 0:
             return False
         if self._pause_timer is None:
--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -17,6 +17,7 @@
     NotSent,
     PartRequest,
     PartReturned,
+    ResponseReturned,
     SendAttempt,
     SnapshotId,
     Target,
@@ -432,3 +433,89 @@
         protocol.dataReceived(reply)
     harness.send("a2")
     assert (b"a2" in protocol.transport.value()) is reusable
+
+
+def platform_reply(status, request_id, extra=""):
+    head = f"HTTP/1.1 {status} X\r\n{REQUEST_ID_HEADER}: {request_id}\r\n{extra}"
+    return f"{head}Content-Length: 0\r\n\r\n".encode()
+
+
+REFUSALS = [
+    (503, "Not-Executed: 1\r\n"),
+    (503, "Not-Executed: 1\r\nServer-Leaving: 1\r\n"),
+    (503, "Not-Executed: 1\r\nRetry-After: 0.1\r\n"),
+    (429, "Not-Executed: 1\r\n"),
+    (421, ""),
+    (400, "Not-Executed: 1\r\n"),
+    (200, "Not-Executed: 1\r\n"),
+    (500, f"{DIGEST_HEADER}: d\r\n"),
+    (404, f"{DIGEST_HEADER}: d\r\n"),
+]
+
+
+@pytest.fixture
+def platform_harness(harness):
+    harness.pool.dialect = PlatformDialect()
+    return harness
+
+
+def send_forwarded(harness, attempt_id, request_id, repeatable=False):
+    headers = ((b"request-id", request_id.encode()),)
+    request = ForwardedRequest(request_id, b"POST", b"/a/", "h", headers, b"")
+    at_ms = harness.reactor.seconds() * 1000 + 5000.0
+    harness.pool.send(SendAttempt(attempt_id, "t1", at_ms, request, repeatable))
+
+
+@pytest.mark.parametrize(("status", "headers"), REFUSALS)
+@pytest.mark.parametrize("limit", [1, 2, 3])
+@pytest.mark.parametrize("others", [0, 1, 40])
+@pytest.mark.parametrize("waits", [False, True])
+def test_a_request_is_not_sent_again_on_the_connection_of_its_refusal(
+    platform_harness, status, headers, limit, others, waits
+):
+    """Guards against a false refusal: the late second copy was taken for the new attempt's reply.
+
+    Other requests may use the connection meanwhile, and the request may wait for a connection.
+    """
+    harness = platform_harness
+    harness.pool.limit(limit)
+    send_forwarded(harness, "x/1", "r1")
+    first = harness.accept()
+    if waits:
+        send_forwarded(harness, "x/2", "r1")
+    first.dataReceived(platform_reply(status, "r1", headers))
+    for number in range(others if not waits else 0):
+        send_forwarded(harness, f"y/{number}", f"o{number}")
+        first.dataReceived(platform_reply(200, f"o{number}", f"{DIGEST_HEADER}: d\r\n"))
+    if not waits:
+        send_forwarded(harness, "x/2", "r1")
+    assert first.transport.value().count(b"request-id: r1\r\n") == 1
+    assert b"x/2" not in [attempt_id for attempt_id, _ in harness.ended()]
+    if first.transport.disconnecting:
+        lose(first)
+    else:
+        first.dataReceived(platform_reply(status, "r1", headers))
+        assert first.transport.disconnecting
+    second = harness.accept()
+    second.dataReceived(platform_reply(200, "r1", f"{DIGEST_HEADER}: d\r\n"))
+    assert harness.ended()[-1] == ("x/2", ResponseReturned)
+    assert harness.pool.connection_count() <= limit
+
+
+@pytest.mark.parametrize(("deadline_s", "closed"), [(0.001, False), (60.0, True)])
+def test_ids_of_requests_that_are_over_do_not_close_a_connection(
+    platform_harness, deadline_s, closed
+):
+    """Guards against a new connection for each request of a target that refuses most of them."""
+    harness = platform_harness
+    for number in range(1000):
+        if harness.protocols and harness.protocols[0].transport.disconnecting:
+            break
+        request = ForwardedRequest(f"r{number}", b"GET", b"/a/", "h", (), b"")
+        at_ms = harness.reactor.seconds() * 1000 + deadline_s * 1000
+        harness.pool.send(SendAttempt(f"x/{number}", "t1", at_ms, request))
+        if not harness.protocols:
+            harness.accept()
+        harness.protocols[0].dataReceived(platform_reply(503, f"r{number}", "Not-Executed: 1\r\n"))
+        harness.reactor.advance(0.002)
+    assert harness.protocols[0].transport.disconnecting is closed
--- a/savoryarch/platform/_wire.py
+++ b/savoryarch/platform/_wire.py
@@ -60,6 +60,7 @@
 _FAILED_STATUS = 502
 _TIMED_OUT_STATUS = 504
 _MISDIRECTED_STATUS = 421
+_FIRST_UNSUCCESSFUL_STATUS = 300
 _FIRST_ERROR_STATUS = 400
 _MS_PER_S = 1000.0
 _LEAVING = "1"
@@ -99,13 +100,21 @@
             lines.append(b"content-length: %d" % len(request.body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
 
-    def is_reply_to(self, reply: HttpReply, send: SendAttempt) -> bool:
-        """Return whether a reply belongs to an attempt; a refusal need not carry the id."""
+    def reply_id(self, send: SendAttempt) -> str:
+        """Return the client's request id, which all attempts of the request share."""
         assert isinstance(send.request, ForwardedRequest)
-        echoed = reply.header(REQUEST_ID_HEADER)
-        if not echoed:
-            return _is_not_run(reply)
-        return echoed == send.request.client_request_id
+        return send.request.client_request_id
+
+    def is_reply_to(self, reply: HttpReply, send: SendAttempt) -> bool:
+        """Return whether a reply belongs to an attempt of the same request.
+
+        A refusal without an id may be the second copy of an earlier one.
+        """
+        return reply.header(REQUEST_ID_HEADER) == self.reply_id(send)
+
+    def may_be_repeated(self, reply: HttpReply) -> bool:
+        """Return whether the request of a reply may be sent again, to this target or another."""
+        return reply.status >= _FIRST_UNSUCCESSFUL_STATUS or _is_not_run(reply)
 
     def decode_attempt_reply(
         self, reply: HttpReply, send: SendAttempt
