Discovery: the grace period of a missing entry ends at its time

Cause: the grace period of missing entries, meant for those that lapsed while the store was out, ended at the next poll (up to 1.25 s later), began up to 1.8 s after the end of the cut, and applied after any failed call.

Change: a timer ends the period; retries on the platform come at most 0.4 s apart, so that it ends within 3.7 s of a cut, before an instance counts as in touch (4 s); an outage shorter than the interval of renewals (new setting lapse_outage_ms) and a malformed entry have no grace period.

Result: the new tests failed to import or failed before and pass.

--- a/savoryarch/discovery/_decide.py
+++ b/savoryarch/discovery/_decide.py
@@ -1,7 +1,12 @@
 """Reads the entries of the store and registers this instance, by the chart ``discovery``."""
 
 from savoryarch.charts import load_chart
-from savoryarch.discovery._entries import apply_changes, apply_full_list, remove_lapsed_targets
+from savoryarch.discovery._entries import (
+    LAPSE_TIMER,
+    apply_changes,
+    apply_full_list,
+    remove_lapsed_targets,
+)
 from savoryarch.discovery._polling import (
     POLL_TIMER,
     announce_changes,
@@ -108,6 +113,9 @@
             removed = remove_lapsed_targets(replace(state, next_poll_at_ms=NEVER_MS), now_ms)
             stepped = _step(removed.state, "poll_due", None, now_ms)
             return replace(stepped, effects=removed.effects + stepped.effects)
+        case TimerFired(timer_id=timer_id) if timer_id == LAPSE_TIMER:
+            removed = remove_lapsed_targets(state, now_ms)
+            return Decided(removed.state, removed.effects)
         case PeersChanged() | PeerMessageReceived():
             return handle_peer_event(state, event, now_ms)
         case TimerFired(timer_id=timer_id) if timer_id == LEASE_TIMER:
@@ -158,12 +166,12 @@
             return Decided(state, (call,))
         case "apply_entries", KeysListed(entries=entries, revision=revision):
             changes = [KeyChange(entry.key, entry.value, entry.revision) for entry in entries]
-            state = _record_store_regained(replace(state, revision=revision), now_ms)
+            state = _record_store_reply(replace(state, revision=revision), now_ms)
             applied = apply_full_list(state, changes, now_ms)
             state = replace(applied.state, announced_revision=revision)
             return Decided(state, applied.effects)
         case "apply_changes", KeysChanged(changes=changed, revision=revision):
-            before, state = state, _record_store_regained(replace(state, revision=revision), now_ms)
+            before, state = state, _record_store_reply(replace(state, revision=revision), now_ms)
             applied = apply_changes(state, changed, now_ms)
             announced = announce_changes(before, applied.state)
             return Decided(announced.state, applied.effects + announced.effects)
@@ -180,13 +188,17 @@
             return Decided(state, (SetTimer(POLL_TIMER, now_ms + delay_ms),))
 
 
-def _record_store_regained(state: DiscoveryState, now_ms: float) -> DiscoveryState:
-    """Record when the store replied again after failures.
+def _record_store_reply(state: DiscoveryState, now_ms: float) -> DiscoveryState:
+    """Record when the store replied, and whether it did so for the first time after an outage.
 
     It is called before entries are applied, because the grace period of missing entries starts at
     that time.
     """
-    return replace(state, regained_at_ms=now_ms) if state.failures else state
+    outage_ms = now_ms - state.replied_at_ms
+    state = replace(state, replied_at_ms=now_ms)
+    if not state.failures or outage_ms < state.settings.lapse_outage_ms:
+        return state
+    return replace(state, regained_at_ms=now_ms)
 
 
 def _report_regained(state: DiscoveryState) -> DecidedDiscovery:
--- a/savoryarch/discovery/_entries.py
+++ b/savoryarch/discovery/_entries.py
@@ -23,6 +23,7 @@
     LogEvent,
     PublishEvent,
     Service,
+    SetTimer,
     TargetEvidence,
     TargetEvidenceReceived,
 )
@@ -37,6 +38,7 @@
 
 # Connections that a target accepts if the forwarding table does not name its service.
 DEFAULT_CONNECTION_LIMIT = 16
+LAPSE_TIMER = "discovery/lapse"  # fires when the next grace period of a missing entry ends
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,8 +118,7 @@
 def remove_lapsed_targets(state: DiscoveryState, now_ms: float) -> ApplyResult:
     """Remove lapsed targets whose grace period has ended, and publish what changed.
 
-    It is called at the start of each poll, so that the targets are also removed when the store does
-    not reply.
+    It is called when a grace period ends, whether the store replies or not, and at each poll.
     """
     return _publish_changes(state, _remove_expired(ApplyResult(state), now_ms))
 
@@ -179,6 +180,9 @@
     if state.refused.get(key) != detail:
         effects += (LogEvent("entry_refused", (("key", key), ("detail", detail))),)
         state = replace(state, refused=state.refused.set(key, detail))
+    # The entry is there, so that it has not lapsed and has no grace period.
+    if key in state.targets:
+        state = replace(state, lapsed=state.lapsed.set(key, now_ms))
     return _remove(ApplyResult(state, result.effects + effects), key, now_ms)
 
 
@@ -216,6 +220,8 @@
     """Append an event for the other components for each difference from the state before."""
     state = result.state
     effects: list[object] = list(result.effects)
+    if state.lapsed and state.lapsed != before.lapsed:
+        effects.append(SetTimer(LAPSE_TIMER, min(state.lapsed.values())))
     if state.table is not None and state.table is not before.table:
         effects.append(PublishEvent(TableInForce(state.table)))
     changed = state.targets != before.targets
--- a/savoryarch/discovery/_settings.py
+++ b/savoryarch/discovery/_settings.py
@@ -33,6 +33,12 @@
         "Grace period after an outage of the store, within which lapsed entries may return.",
         2300.0,
     )
+    lapse_outage_ms: float = setting(
+        Number(0.0, 600_000.0),
+        "Shortest outage of the store in which entries lapse: the interval at which targets renew"
+        " them. After a shorter one, a missing entry has been removed.",
+        0.0,
+    )
     instances_prefix: str = setting(
         PREFIX, "Prefix under which entry instances register.", "savoryarch-instances/"
     )
--- a/savoryarch/discovery/_state.py
+++ b/savoryarch/discovery/_state.py
@@ -83,8 +83,10 @@
         Whether a table and at least one target have been read.
     failures : int
         Number of consecutive failed calls.
+    replied_at_ms : float
+        When the store last replied.
     regained_at_ms : float
-        When the store last replied again after failures.
+        When the store last replied again after an outage in which entries may have lapsed.
     lease_id : int or None
         Id of the lease of this instance's registration; None without a lease.
     registration : RegisteredInstance or None
@@ -112,6 +114,7 @@
     refused: Map[str, str] = field(default_factory=Map)
     targets_discovered: bool = False
     failures: int = 0
+    replied_at_ms: float = NEVER_MS
     regained_at_ms: float = NEVER_MS
     lease_id: int | None = None
     registration: RegisteredInstance | None = None
--- a/savoryarch/discovery/tests/test_discovery.py
+++ b/savoryarch/discovery/tests/test_discovery.py
@@ -11,6 +11,7 @@
     CHANGES_CALL,
     GRANT_CALL,
     KEEP_CALL,
+    LAPSE_TIMER,
     LEASE_TIMER,
     LIST_CALL,
     POLL_TIMER,
@@ -76,9 +77,9 @@
 class Driver:
     """The discovery state of one instance and the effects of its decisions."""
 
-    def __init__(self):
+    def __init__(self, **settings):
         codec = StoreEntryCodec(decode, lambda instance: instance.instance_id.encode())
-        self.state = make_discovery_state(DiscoverySettings(enabled=True), codec)
+        self.state = make_discovery_state(DiscoverySettings(enabled=True, **settings), codec)
         self.now_ms = 0.0
         self.effects = []
 
@@ -216,6 +217,55 @@
     assert driver.targets() == targets
 
 
+@pytest.mark.parametrize("deletion", ["change", "list"])
+@pytest.mark.parametrize("polled_after_ms", [None, GRACE_MS - 1.0])
+def test_the_grace_period_ends_at_its_time(deletion, polled_after_ms):
+    """Guards against requests to a removed target: it was kept until the next poll or longer.
+
+    That poll may come a poll interval later, or fail.
+    """
+    driver = Driver()
+    driver.start(table=b"1", t_a=b"live", t_b=b"live")
+    driver.fail()
+    if deletion == "change":
+        driver.change(("t/a", None))
+    else:
+        driver.feed(TimerFired(POLL_TIMER))
+        driver.feed(StoreReplied(CHANGES_CALL, WatchCompacted(40)))
+        driver.list(table=b"1", t_b=b"live")
+    timers = [item for item in driver.effects if isinstance(item, SetTimer)]
+    assert SetTimer(LAPSE_TIMER, driver.now_ms + GRACE_MS) in timers
+    if polled_after_ms is not None:
+        driver.now_ms += polled_after_ms
+        driver.fail()
+    driver.now_ms = GRACE_MS
+    assert driver.targets() == ["t/a", "t/b"]
+    driver.feed(TimerFired(LAPSE_TIMER))
+    assert driver.targets() == ["t/b"]
+
+
+@pytest.mark.parametrize(("failed_ms", "targets"), [(100.0, []), (1199.0, []), (1201.0, ["t/a"])])
+def test_a_short_failure_is_no_outage_in_which_entries_lapse(failed_ms, targets):
+    """Guards against requests to a removed target: one failed call counted as an outage."""
+    driver = Driver(lapse_outage_ms=1200.0)
+    driver.start(table=b"1", t_a=b"live")
+    driver.fail()
+    driver.now_ms += failed_ms
+    driver.change(("t/a", None))
+    assert driver.targets() == targets
+
+
+@pytest.mark.parametrize("is_missing_first", [False, True])
+def test_a_malformed_entry_has_no_grace_period(is_missing_first):
+    """Guards against requests to a target whose entry names none: it is there and did not lapse."""
+    driver = Driver()
+    driver.start(table=b"1", t_a=b"live")
+    driver.fail()
+    changes = [("t/a", None)] if is_missing_first else []
+    driver.change(*changes, ("t/a", b"broken"))
+    assert driver.targets() == []
+
+
 def test_a_lapsed_target_that_registers_again_is_retained():
     driver = Driver()
     driver.start(table=b"1", t_a=b"live")
