Targets: a failed connection does not make a draining target live again

Cause: the chart moved a draining target to the state lost when a connection failed, and a lost target returns on any connection. The entry in the store said draining all the time.

--- a/savoryarch/targets/tests/test_evidence.py
+++ b/savoryarch/targets/tests/test_evidence.py
@@ -43,6 +43,7 @@
 PROBE_DRAINING = TargetEvidenceReceived("t", TargetEvidence.PROBE_DRAINING)
 REFUSED = TargetEvidenceReceived("t", TargetEvidence.CONNECTION_REFUSED)
 CLOSED = TargetEvidenceReceived("t", TargetEvidence.CONNECTION_CLOSED)
+REGISTERED = TargetEvidenceReceived("t", TargetEvidence.REGISTERED)
 PROBE_FAILED = TargetEvidenceReceived("t", TargetEvidence.PROBE_FAILED)
 
 
@@ -115,6 +116,23 @@
         # A draining target returns if it answers a probe after the lag.
         ([(1.0, ANSWERED), (10_000.0, attempt_ended(Draining())), (15_100.0, ANSWERED)], True),
         ([(1.0, ANSWERED), (10_000.0, LEAVING), (14_000.0, LEAVING), (19_100.0, ANSWERED)], True),
+        # A failed connection does not make a draining target return earlier: guards against new
+        # requests to a target that was unreachable while it drained.
+        ([(1.0, ANSWERED), (10_000.0, LEAVING), (10_100.0, REFUSED), (10_200.0, CONNECTED)], False),
+        ([(1.0, ANSWERED), (10_000.0, LEAVING), (10_100.0, REFUSED), (90_000.0, CONNECTED)], False),
+        ([(1.0, ANSWERED), (10_000.0, LEAVING), (10_100.0, REFUSED), (15_050.0, ANSWERED)], False),
+        ([(1.0, ANSWERED), (10_000.0, LEAVING), (10_100.0, REFUSED), (15_200.0, ANSWERED)], True),
+        ([(1.0, REFUSED), (10_000.0, LEAVING), (10_100.0, REFUSED), (10_200.0, CONNECTED)], False),
+        (
+            [
+                (1.0, ANSWERED),
+                (10_000.0, LEAVING),
+                (10_100.0, REFUSED),
+                (10_200.0, REGISTERED),
+                (10_300.0, CONNECTED),
+            ],
+            True,
+        ),
         # After a closed or refused connection, an answer or a new connection lets the target
         # return at once, but not its presence in the instance list.
         ([(1.0, ANSWERED), (10_000.0, CLOSED), (10_001.0, ANSWERED)], True),
