Shutdown: answer the requests that are unfinished at its deadline

What callers saw (a report of operators, and read in the code by the review): requests that came late in the grace of a planned stop were passed on, and their connections closed without an answer.

Cause: at the deadline the process decided to exit; the unfinished requests were logged and never answered. Shown with real processes and targets that take longer than the grace: an order, a read and a search, sent before the SIGTERM or 0.3 s after it, all ended with RemoteDisconnected.

Change: the shutdown publishes ShutdownTimeExpired before the exit, and each forwarded request ends as if its objective and its deadline had passed: with the shards that replied if they suffice, 503 if nothing was sent, else 502. An urgent stop does the same.

Result: the new tests failed before (14, and 4 rows of the table that now expect the event) and pass.

--- a/savoryarch/forwarding/_decide.py
+++ b/savoryarch/forwarding/_decide.py
@@ -11,6 +11,7 @@
 )
 from savoryarch.forwarding._forward_chart import (
     check_completion,
+    end_request,
     handle_check_timer,
     is_ended,
     step_forward,
@@ -37,6 +38,7 @@
     RequestIntakeStopped,
     SetTimer,
     SettingsReloaded,
+    ShutdownTimeExpired,
     TargetAdvised,
     TimerFired,
 )
@@ -96,10 +98,23 @@
             return DecidedOnTargets(replace(state, settings=settings), targets)
         case RequestIntakeStopped():
             return DecidedOnTargets(replace(state, stopping=True), targets)
+        case ShutdownTimeExpired():
+            return _end_requests(state, targets, now_ms)
         case _:
             return DecidedOnTargets(state, targets)
 
 
+def _end_requests(state: ForwardingState, targets: TargetsState, now_ms: float) -> DecidedForward:
+    """Answer every request now, because its client would get no answer after the exit.
+
+    New requests are refused; an urgent stop does not stop their intake before.
+    """
+    decided: DecidedForward = DecidedOnTargets(replace(state, stopping=True), targets)
+    for request_id in sorted(state.forwards):
+        decided = _chain_decisions(decided, request_id, now_ms, end_request)
+    return decided
+
+
 def _disconnect_client(context: DecisionContext) -> DecisionContext:
     return step_forward(context, "client_disconnected")
 
--- a/savoryarch/forwarding/_forward_chart.py
+++ b/savoryarch/forwarding/_forward_chart.py
@@ -86,6 +86,16 @@
     return context
 
 
+def end_request(context: DecisionContext) -> DecisionContext:
+    """Answer the request with what there is, as if its objective and its deadline had passed."""
+    if context.forward.chart_state == "collecting":
+        context = step_forward(context, "objective_passed")
+    if is_ended(context.forward):
+        return context
+    refusable = replace(context.forward, refusal=RefusalReason.STOPPING)
+    return step_forward(replace(context, forward=refusable), "deadline_passed")
+
+
 def handle_check_timer(context: DecisionContext) -> DecisionContext:
     """Handle the expired timer of the request: deadline, objective, admission wait and hedges."""
     context = replace(context, forward=replace(context.forward, next_check_at_ms=NEVER_MS))
--- a/savoryarch/forwarding/tests/test_forwarding.py
+++ b/savoryarch/forwarding/tests/test_forwarding.py
@@ -15,6 +15,7 @@
     Refused,
     RequestIntakeStopped,
     Shed,
+    ShutdownTimeExpired,
     TargetEvidence,
     TimedOut,
 )
@@ -365,3 +366,35 @@
 )
 def test_merged_records_are_the_greatest_of_all_shards(bodies, top, merged):
     assert merge_records(bodies, top) == merged
+
+
+@pytest.mark.parametrize(
+    ("path", "requests_before", "answered", "outcome"),
+    [
+        ("/order/1", 0, 0, "failed"),
+        ("/read/1", 0, 0, "failed"),
+        ("/find/1", 0, 0, "failed"),
+        ("/find/1", 0, 9, "1 missing"),
+        # The targets are full and nothing was sent, so that the client may be told so.
+        ("/order/1", 6, 0, "stopping"),
+        ("/find/1", 6, 0, "stopping"),
+    ],
+)
+@pytest.mark.parametrize("intake_stopped", [True, False])
+def test_the_end_of_a_shutdown_answers_every_request(
+    path, requests_before, answered, outcome, intake_stopped
+):
+    """Guards against requests that a planned stop passes on and then cuts without an answer."""
+    driver = Driver(slots=2)
+    for _ in range(requests_before):
+        driver.send_request(path)
+    name = driver.send_request(path)
+    for send in driver.sends()[:answered]:
+        driver.end_attempt(send, returned(body=b""))
+    if intake_stopped:
+        driver.feed(RequestIntakeStopped())
+    driver.feed(ShutdownTimeExpired())
+    assert summary(driver.outcome(name)) == outcome
+    assert not driver.state.forwards
+    name = driver.send_request(path)
+    assert summary(driver.outcome(name)) == "stopping"
--- a/savoryarch/model/_instances.py
+++ b/savoryarch/model/_instances.py
@@ -108,6 +108,11 @@
     """Event for the other components: this instance accepts no new requests from now on."""
 
 
+@dataclass(frozen=True, slots=True)
+class ShutdownTimeExpired:
+    """Event for the other components: this instance exits now, whatever is unfinished."""
+
+
 @dataclass(frozen=True, slots=True)
 class LeavingAnnounced:
     """Event for the other components: this instance will leave but still accepts requests."""
--- a/savoryarch/shutdown/_decide.py
+++ b/savoryarch/shutdown/_decide.py
@@ -15,6 +15,7 @@
     SetReadiness,
     SetTimer,
     SettingsReloaded,
+    ShutdownTimeExpired,
     Started,
     StopRequested,
     TimerFired,
@@ -197,6 +198,7 @@
         ClearTimer(DEADLINE_TIMER),
         Count("requests_cut", "shutdown", len(unfinished_ids)),
         LogEvent("shutdown_cut", fields),
+        PublishEvent(ShutdownTimeExpired()),
         Exit(UNFINISHED_EXIT_CODE if unfinished_ids else 0, unfinished_ids),
     )
 
--- a/savoryarch/shutdown/tests/test_shutdown.py
+++ b/savoryarch/shutdown/tests/test_shutdown.py
@@ -12,6 +12,7 @@
     PublishEvent,
     RequestIntakeStopped,
     SetReadiness,
+    ShutdownTimeExpired,
     Started,
     StopRequested,
     TimerFired,
@@ -49,6 +50,8 @@
     [SetReadiness(False), PublishEvent(LeavingAnnounced())],
     PublishEvent(RequestIntakeStopped()),
 )
+# Requests are answered before the exit.
+EXPIRED = PublishEvent(ShutdownTimeExpired())
 
 
 @pytest.mark.parametrize(
@@ -61,11 +64,11 @@
         ([StopRequested(), LAG_ELAPSED], [*LEAVING, INTAKE_STOPPED, Exit(0)]),
         ([StopRequested(), BUSY, LAG_ELAPSED], [*LEAVING, INTAKE_STOPPED]),
         ([BUSY, StopRequested(), LAG_ELAPSED, IDLE], [*LEAVING, INTAKE_STOPPED, Exit(0)]),
-        ([StopRequested(), BUSY, URGENT_STOP], [*LEAVING, Exit(1, ("r1", "r2"))]),
-        ([StopRequested(), URGENT_STOP], [*LEAVING, Exit(0)]),
+        ([StopRequested(), BUSY, URGENT_STOP], [*LEAVING, EXPIRED, Exit(1, ("r1", "r2"))]),
+        ([StopRequested(), URGENT_STOP], [*LEAVING, EXPIRED, Exit(0)]),
         (
             [StopRequested(), BUSY, LAG_ELAPSED, URGENT_STOP],
-            [*LEAVING, INTAKE_STOPPED, Exit(1, ("r1", "r2"))],
+            [*LEAVING, INTAKE_STOPPED, EXPIRED, Exit(1, ("r1", "r2"))],
         ),
         ([StopRequested(), BUSY, StopRequested()], LEAVING),
         ([StopRequested(), StopRequested()], LEAVING),
@@ -75,7 +78,7 @@
         ),
         (
             [StopRequested(), BUSY, LAG_ELAPSED, DEADLINE_REACHED],
-            [*LEAVING, INTAKE_STOPPED, Exit(1, ("r1", "r2"))],
+            [*LEAVING, INTAKE_STOPPED, EXPIRED, Exit(1, ("r1", "r2"))],
         ),
         (
             [StopRequested(), LAG_ELAPSED, IDLE, StopRequested(), DEADLINE_REACHED],
--- a/tests/process/test_planned_stop.py
+++ b/tests/process/test_planned_stop.py
@@ -4,16 +4,22 @@
 that refused them or closed connections at once would cut these requests.
 """
 
+import re
 import signal
+from http.client import HTTPConnection
+from threading import Event
 
 import pytest
 import requests
 
+from savoryarch.platform import DEADLINE_HEADER, REQUEST_ID_HEADER
+from savoryarch_soak import _instances, _small_deployment
 from tests.process.callers import Callers, runs_per_key
 from tests.process.conftest import PLAN, TIMEOUT_S, wait_for_configuration
 
 REPEATED_SIGNALS = 3  # a platform may send SIGTERM more than once
 STOP_TIMEOUT_S = 20.0
+SHORT_GRACE_MS = 1500
 
 
 @pytest.mark.process
@@ -52,3 +58,45 @@
         entry.send_signal(signal.SIGINT)
     assert entry.wait_for_exit(1.5) in (0, 1)
     assert "shutdown_cut" in entry.read_log_tail()
+
+
+@pytest.mark.process
+@pytest.mark.parametrize("sent_after_ms", [0, 300])
+def test_a_stop_answers_the_requests_that_it_cannot_complete(tmp_path, monkeypatch, sent_after_ms):
+    """Guards against requests that are passed on late in the grace and cut without an answer.
+
+    The targets take longer than the grace. Requests are sent before the signal, or while the
+    instance still accepts them.
+    """
+
+    def render_settings(*arguments):
+        text = _instances.render_settings(*arguments)
+        return re.sub(
+            r"shutdown_deadline_ms = .*", f"shutdown_deadline_ms = {SHORT_GRACE_MS}", text
+        )
+
+    monkeypatch.setattr(_small_deployment, "render_settings", render_settings)
+    with _small_deployment.SmallDeployment(tmp_path) as deployment:
+        entry, first = deployment.start_entry()
+        for replica in range(_small_deployment.REPLICAS):
+            deployment.set_switches(replica, work_ms=60_000.0)
+        others = [HTTPConnection(first.host, first.port, timeout=TIMEOUT_S) for _ in range(2)]
+        requests_sent = [("order", "POST"), ("read", "GET"), ("find", "GET")]
+        if sent_after_ms:
+            entry.send_signal(signal.SIGTERM)
+            Event().wait(sent_after_ms / 1000.0)
+        for connection, (route, method) in zip([first, *others], requests_sent, strict=True):
+            headers = {
+                "host": _small_deployment.ROUTE_HOST,
+                REQUEST_ID_HEADER: f"late-{route}",
+                DEADLINE_HEADER: "2000",
+            }
+            connection.request(method, f"/{route}/1", headers=headers)
+        if not sent_after_ms:
+            Event().wait(0.3)
+            entry.send_signal(signal.SIGTERM)
+        statuses = [connection.getresponse().status for connection in [first, *others]]
+        assert statuses == [502, 502, 502]
+        assert entry.wait_for_exit(STOP_TIMEOUT_S) == 1
+        arrived = {item.request_id for item in deployment.read_arrivals()}
+        assert {"late-order", "late-read"} <= arrived
