Test: a reply that breaks off in its head or body is not complete

A report of operators: a target stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -519,3 +519,47 @@
         harness.protocols[0].dataReceived(platform_reply(503, f"r{number}", "Not-Executed: 1\r\n"))
         harness.reactor.advance(0.002)
     assert harness.protocols[0].transport.disconnecting is closed
+
+
+WHOLE_REPLY = platform_reply(200, "r1", f"{DIGEST_HEADER}: d\r\n").replace(
+    b"Content-Length: 0\r\n\r\n", b"Content-Length: 5\r\n\r\nabcde"
+)
+CHUNKED_REPLY = platform_reply(200, "r1", f"{DIGEST_HEADER}: d\r\n").replace(
+    b"Content-Length: 0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+)
+UNFRAMED_REPLY = platform_reply(200, "r1", f"{DIGEST_HEADER}: d\r\n").replace(
+    b"Content-Length: 0\r\n\r\n", b"\r\nabcde"
+)
+
+
+@pytest.mark.parametrize("before", ["nothing", "another reply", "an interim reply"])
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize(
+    "reply", [WHOLE_REPLY, CHUNKED_REPLY, UNFRAMED_REPLY], ids=["length", "chunked", "unframed"]
+)
+def test_a_reply_that_breaks_off_is_not_complete(platform_harness, reply, reset, before):
+    """Guards against a success with an empty or short body: a target closed within its reply.
+
+    Only a reply without a length ends with its connection, if that is not reset.
+    """
+    head_length = reply.index(b"\r\n\r\n") + 4
+    for length in range(len(reply)):
+        harness, attempt_id = platform_harness, f"x/{length}"
+        if before == "another reply":
+            send_forwarded(harness, f"y/{length}", f"o{length}")
+            protocol = harness.accept()
+            protocol.dataReceived(platform_reply(200, f"o{length}", f"{DIGEST_HEADER}: d\r\n"))
+            send_forwarded(harness, attempt_id, "r1")
+        else:
+            send_forwarded(harness, attempt_id, "r1")
+            protocol = harness.accept()
+        if before == "an interim reply":
+            protocol.dataReceived(b"HTTP/1.1 100 Continue\r\n\r\n")
+        protocol.dataReceived(reply[:length])
+        error = ConnectionResetError() if reset else ConnectionDone()
+        protocol.connectionLost(Failure(error))
+        may_be_whole = reply is UNFRAMED_REPLY and not reset and length >= head_length
+        expected = ResponseReturned if may_be_whole else ConnectionLost
+        assert harness.ended()[-1] == (attempt_id, expected), reply[:length]
+        harness.reactor.advance(5.0)
