Forwarding: a failure of a shard is no part of an answer

The record does not tell the path; two were reproduced on.

Cause: a shard's reply with a status from 300 to 499 and a digest counted as a part.

Change: a part needs a status below 300.

--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -563,3 +563,32 @@
         expected = ResponseReturned if may_be_whole else ConnectionLost
         assert harness.ended()[-1] == (attempt_id, expected), reply[:length]
         harness.reactor.advance(5.0)
+
+
+@pytest.mark.parametrize("length", range(1, len(WHOLE_REPLY), 3))
+@pytest.mark.parametrize("arrival", ["idle", "late", "split"])
+def test_a_second_reply_that_breaks_off_does_not_change_the_next_one(
+    platform_harness, length, arrival
+):
+    """Guards against a success for a request that failed: a target stutters, then fails.
+
+    The first bytes of the second copy come while the connection is idle, or when the next request
+    has been sent, or in both times.
+    """
+    harness, copy = platform_harness, WHOLE_REPLY[:length]
+    before = {"idle": length, "late": 0, "split": length // 2}[arrival]
+    send_forwarded(harness, "x/1", "r1", repeatable=True)
+    first = harness.accept()
+    first.dataReceived(WHOLE_REPLY)
+    if before:
+        first.dataReceived(copy[:before])
+    send_forwarded(harness, "x/2", "r2", repeatable=True)
+    used = harness.accept() if first.transport.disconnecting else first
+    if used is first:
+        used.dataReceived(copy[before:])
+    if not used.transport.disconnecting:
+        used.dataReceived(platform_reply(500, "r2", f"{DIGEST_HEADER}: d2\r\n"))
+        harness.reactor.advance(6.0)
+    replies = [event.reply for event in harness.events if isinstance(event, AttemptEnded)]
+    assert len(replies) == 2
+    assert not isinstance(replies[1], ResponseReturned) or replies[1].status == 500
--- a/savoryarch/forwarding/_sub_requests.py
+++ b/savoryarch/forwarding/_sub_requests.py
@@ -23,6 +23,7 @@
     SetTimer,
     Shed,
 )
+from savoryarch.model.forwarding import ForwardedRoute, ToShards
 from savoryarch.quarantine import Quarantined, check_request, record_attempt_started
 from savoryarch.targets import choose_target, has_serving_target, record_overdue, start_attempt
 from savoryarch.utils import replace
@@ -35,6 +36,9 @@
 )
 CAPACITY_POLL_MS = 5.0  # interval of the checks for capacity while a sub-request waits
 FIRST_FAILURE_STATUS = 500  # lowest HTTP status that counts as a failure of the target
+# Lowest HTTP status of a reply that is no part of an answer from shards. The answer is a success,
+# whereas the only service of a route may answer a client with any status below the failures.
+FIRST_STATUS_WITHOUT_PART = 300
 MAX_IN_FLIGHT = 2  # maximum number of attempts of one sub-request in flight at a time
 ATTEMPTS_PER_TARGET = 2  # attempts of one sub-request per target that its route allows, at most
 MIN_LATENCY_SAMPLES = 20  # samples from which the latency histogram determines the time of hedges
@@ -61,12 +65,13 @@
     """
     reply, target_id = ended.reply, ended.target_id
     sub_request = context.forward.sub_requests[service]
-    if not isinstance(reply, ResponseReturned) or reply.status >= FIRST_FAILURE_STATUS:
+    first_failure_status = _first_failure_status(context.forward.route)
+    if not isinstance(reply, ResponseReturned) or reply.status >= first_failure_status:
         context = emit(context, make_failure_log(context, ended, service))
     attempt_ids = tuple(name for name in sub_request.attempt_ids if name != ended.attempt_id)
     sub_request = replace(sub_request, attempt_ids=attempt_ids)
     match reply:
-        case ResponseReturned(status=status) if status < FIRST_FAILURE_STATUS:
+        case ResponseReturned(status=status) if status < first_failure_status:
             return _step(context, replace(sub_request, reply=reply, may_have_run=True), "replied")
         case ResponseReturned(status=status):
             failed = replace(
@@ -99,6 +104,15 @@
             return _step(context, failed, "failed")
 
 
+def _first_failure_status(route: ForwardedRoute) -> int:
+    """Return the lowest HTTP status with which a target has not answered a sub-request."""
+    match route.destination:
+        case ToShards():
+            return FIRST_STATUS_WITHOUT_PART
+        case _:
+            return FIRST_FAILURE_STATUS
+
+
 def check_hedges(context: DecisionContext) -> DecisionContext:
     """Step each sub-request whose hedge is due, and schedule the check for the next one."""
     for service in context.forward.services:
