Process: wait for an address that is in use, and ignore signals at the end

Change: addresses are tried again every 0.5 s, the required ones for 5 s; an instance is ready only when its front is open; signals are ignored once the loop has ended.

--- a/savoryarch/entry/_peer_address.py
+++ b/savoryarch/entry/_peer_address.py
@@ -8,6 +8,9 @@
 from functools import partial
 from typing import Any
 
+from pynng.exceptions import AddressInUse
+from twisted.internet.error import CannotListenError
+
 from savoryarch import model
 from savoryarch.codec import make_message_codec
 from savoryarch.entry._metrics import Metrics
@@ -42,25 +45,37 @@
     -------
     transport : PeerTransport
         The open transport.
+
+    Raises
+    ------
+    CannotListenError
+        If the address is in use.
     """
     codec = make_message_codec(model, *COMPONENT_MESSAGES)
-    callbacks = TransportCallbacks(
+    peers = settings.peers
+    try:
+        return PeerTransport(
+            reactor,
+            peers.host,
+            peers.port,
+            settings.instance.instance_id,
+            incarnation,
+            on_message,
+            codec.encode_frame,
+            codec.decode_frame,
+            _make_callbacks(metrics),
+            _peer_tls(peers),
+        )
+    except AddressInUse as error:
+        raise CannotListenError(peers.host, peers.port, error) from error
+
+
+def _make_callbacks(metrics: Metrics) -> TransportCallbacks:
+    return TransportCallbacks(
         on_sent=partial(metrics.count, "peer_bytes", "sent"),
         on_received=partial(metrics.count, "peer_bytes", "received"),
         on_dropped=partial(metrics.count, "peer_drops"),
     )
-    return PeerTransport(
-        reactor,
-        settings.peers.host,
-        settings.peers.port,
-        settings.instance.instance_id,
-        incarnation,
-        on_message,
-        codec.encode_frame,
-        codec.decode_frame,
-        callbacks,
-        _peer_tls(settings.peers),
-    )
 
 
 def _peer_tls(settings: PeersSettings) -> PeerTls | None:
--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -8,12 +8,12 @@
 
 from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import DeferredList, TimeoutError
-from twisted.internet.error import CannotListenError
 from twisted.python.failure import Failure
 
 from savoryarch.charts import load_chart, make_machine
 from savoryarch.entry._fallbacks import UnopenedPeers
-from savoryarch.entry._log import log_error, log_event, start_logging
+from savoryarch.entry._listen_retry import ListenRetry
+from savoryarch.entry._log import log_event, start_logging
 from savoryarch.entry._metrics import Metrics
 from savoryarch.entry._reload import SettingsFile
 from savoryarch.entry._wiring import make_instance
@@ -98,15 +98,16 @@
         self._interrupted = False
         self._lifecycle = make_machine(load_chart("process", ACTIONS), self._perform)
         self._ports: dict[str, Any] = {}
+        self._listen_retry = ListenRetry(reactor, self._give_up)
+        self._opening_front = False
         self._caller_site: Any = None
         self._instance = make_instance(settings, reactor, self._exit, self._open_peers)
         self._settings_file = SettingsFile(settings_path, settings, self._instance.feed, reactor)
         self._front = Front(self._instance, reactor, ClientDialect(decode_request, encode_answer))
         if settings.forwarding.enabled:
             self._instance.on_ready = self._open_front
-            self._listen(
-                "ready", settings.front.ready_address, ReadinessPage(self._instance.is_ready)
-            )
+            page = ReadinessPage(self._is_ready)
+            self._listen("ready", settings.front.ready_address, page, required=True)
         else:
             self._open_other_listeners()
 
@@ -117,29 +118,38 @@
         signal.signal(signal.SIGHUP, self._handle_sighup)
         reactor.callWhenRunning(self._lifecycle.listening)
         reactor.run(installSignalHandlers=False)
+        # The interpreter removes its handlers while it ends, and the default action of a late
+        # signal would end the process with a failure. Ignored signals stay ignored.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
         return self._exit_code
 
-    def _listen(self, name: str, address: str, factory: Any) -> None:
+    def _listen(self, name: str, address: str, factory: Any, *, required: bool) -> None:
         host, _, port = address.rpartition(":")
-        self._ports[name] = reactor.listenTCP(
-            int(port), factory, backlog=LISTEN_BACKLOG, interface=host
-        )
+
+        def listen() -> None:
+            self._ports[name] = reactor.listenTCP(
+                int(port), factory, backlog=LISTEN_BACKLOG, interface=host
+            )
+            if name == "front":
+                log_event("front_open", (("address", address),))
+                reactor.callLater(OTHER_LISTENERS_DELAY_S, self._open_other_listeners)
+
+        self._listen_retry.open(f"{name}={address}", listen, required=required)
+
+    def _give_up(self) -> None:
+        # The supervisor may find the address free when it restarts the process.
+        reactor.stop()
+
+    def _is_ready(self) -> bool:
+        """Return whether clients can be served: the instance is ready and its front is open."""
+        return self._instance.is_ready() and "front" in self._ports
 
     def _open_front(self) -> None:
         """Accept clients' connections, because routes and targets to serve them are known."""
-        if "front" in self._ports:
-            return
-        address = self._settings.front.address
-        try:
-            self._listen("front", address, self._front)
-        except CannotListenError as error:
-            # Without this address no client is served, although the instance would report that it
-            # is ready. The supervisor may find the address free when it restarts the process.
-            log_error("cannot_listen", (("address", address), ("detail", str(error))))
-            reactor.stop()
-            return
-        log_event("front_open", (("address", address),))
-        reactor.callLater(OTHER_LISTENERS_DELAY_S, self._open_other_listeners)
+        if not self._opening_front:
+            self._opening_front = True
+            self._listen("front", self._settings.front.address, self._front, required=True)
 
     def _open_other_listeners(self) -> None:
         """Open the addresses for callers, operators, metrics and peers."""
@@ -148,11 +158,11 @@
             self._open_listeners()
         self._instance.metrics.start()
         if settings.metrics.address:
-            self._listen(
-                "metrics", settings.metrics.address, MetricsPage(self._instance.render_metrics)
-            )
+            page = MetricsPage(self._instance.render_metrics)
+            self._listen("metrics", settings.metrics.address, page, required=False)
         if isinstance(self._instance.peers, UnopenedPeers):
-            self._replace_peers(self._instance.peers)
+            unopened = self._instance.peers
+            self._listen_retry.open("peers", lambda: self._replace_peers(unopened), required=False)
 
     def _open_listeners(self) -> None:
         settings = self._settings
--- a/tests/process/test_forwarded.py
+++ b/tests/process/test_forwarded.py
@@ -1,6 +1,9 @@
 """Forwarded requests through real processes without faults; `test_soak.py` injects faults."""
 
+import signal
 import socket
+import time
+from threading import Event, Timer
 
 import pytest
 
@@ -29,3 +32,53 @@
         monkeypatch.setattr(_small_deployment, "_connect_when_serving", lambda address: None)
         entry, _ = deployment.start_entry()
         assert entry.wait_for_exit(EXIT_TIMEOUT_S) == 1
+
+
+def is_open(address):
+    try:
+        socket.create_connection((address.host, address.port), timeout=1.0).close()
+    except OSError:
+        return False
+    return True
+
+
+@pytest.mark.process
+@pytest.mark.parametrize("taken", [0, 1, 2])
+def test_an_instance_waits_for_an_address_that_is_in_use(tmp_path, monkeypatch, taken):
+    """Guards against processes that end, or run without peers, as a socket has their address.
+
+    The socket is bound and does not listen, like the end of an outgoing connection.
+    """
+    addresses = find_free_addresses(3)
+    monkeypatch.setattr(_small_deployment, "find_free_addresses", lambda count: addresses)
+    with socket.socket() as holder, _small_deployment.SmallDeployment(tmp_path) as deployment:
+        holder.bind((INSTANCE_HOST, addresses[taken].port))
+        # The front and the peers' address are opened up to 1.5 s after the start.
+        released = Timer(3.0, holder.close)
+        released.start()
+        try:
+            entry, connection = deployment.start_entry()
+            answer = _small_deployment.send_request(connection, "read", "after")
+            assert answer.status == 200
+            released.join()
+            until_s = time.monotonic() + EXIT_TIMEOUT_S
+            while not is_open(addresses[taken]):
+                assert time.monotonic() < until_s
+                Event().wait(0.1)
+            assert entry.is_running()
+        finally:
+            released.cancel()
+
+
+@pytest.mark.process
+@pytest.mark.parametrize("late", [signal.SIGHUP, signal.SIGTERM])
+def test_a_late_signal_does_not_end_a_finished_process(tmp_path, late):
+    """Guards against an exit by a signal: the interpreter drops its handlers while it ends."""
+    with _small_deployment.SmallDeployment(tmp_path) as deployment:
+        entry, connection = deployment.start_entry()
+        connection.close()
+        entry.send_signal(signal.SIGTERM)
+        while entry.is_running():
+            entry.send_signal(late)
+            Event().wait(0.0005)
+        assert entry.wait_for_exit(EXIT_TIMEOUT_S) == 0
