Tests: the names of the wire come from the adapter

The new tests of connections and of the parser wrote headers of the platform out. They use the constants of the adapter now, or headers without a meaning where any header does. No product code changed; the tests of both packages pass.

--- a/savoryarch/codec/tests/test_reply_limits.py
+++ b/savoryarch/codec/tests/test_reply_limits.py
@@ -75,10 +75,8 @@
     assert parser.held_bytes == 0
 
 
-REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 9\r\n\r\nall full\n"
-)
-OWN_REPLY = STATUS + b"Request-Id: r2\r\nContent-Length: 2\r\n\r\nok"
+REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nx-refused: 1\r\nContent-Length: 9\r\n\r\nall full\n"
+OWN_REPLY = STATUS + b"x-request-id: r2\r\nContent-Length: 2\r\n\r\nok"
 
 
 @pytest.mark.parametrize("read_bytes", [1, 7, 1000])
@@ -94,14 +92,14 @@
 @pytest.mark.parametrize(
     ("data", "headers"),
     [
-        (CHUNKED + b"2\r\nok\r\n0\r\nnot-executed: 1\r\n\r\n", {"transfer-encoding": "chunked"}),
+        (CHUNKED + b"2\r\nok\r\n0\r\nx-refused: 1\r\n\r\n", {"transfer-encoding": "chunked"}),
         (STATUS + b"via: HTTP/1.1 a\r\ncontent-length: 0\r\n\r\n", {"via": "HTTP/1.1 a"}),
     ],
 )
 def test_trailers_are_no_headers_and_other_headers_pass(data, headers):
     reply = HttpReplyParser().feed(data)[0]
     assert headers.items() <= reply.headers.items()
-    assert "not-executed" not in reply.headers
+    assert "x-refused" not in reply.headers
 
 
 def test_a_reply_that_switches_protocols_is_malformed():
--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -26,7 +26,14 @@
     TimedOut,
 )
 from savoryarch.model.forwarding import ForwardedRequest
-from savoryarch.platform import DIGEST_HEADER, REQUEST_ID_HEADER, PlatformDialect
+from savoryarch.platform import (
+    DIGEST_HEADER,
+    LEAVING_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
+    RETRY_AFTER_HEADER,
+    PlatformDialect,
+)
 from savoryarch.utils import Clock
 
 SNAPSHOT = SnapshotId(1, 42)
@@ -384,7 +391,7 @@
     assert harness.pool.connection_count() == 0
 
 
-REFUSAL_START = b"HTTP/1.1 503 Service Unavailable\r\nx-request-id: a2\r\nNot-Executed: 1"
+REFUSAL_START = b"HTTP/1.1 503 Service Unavailable\r\nx-request-id: a2\r\nx-refused: 1"
 SURPLUS_BYTES = [
     *(REFUSAL_START[:length] for length in range(1, len(REFUSAL_START) + 1, 9)),
     REFUSAL_START + b"\r\n\r\n",
@@ -441,13 +448,13 @@
 
 
 REFUSALS = [
-    (503, "Not-Executed: 1\r\n"),
-    (503, "Not-Executed: 1\r\nServer-Leaving: 1\r\n"),
-    (503, "Not-Executed: 1\r\nRetry-After: 0.1\r\n"),
-    (429, "Not-Executed: 1\r\n"),
+    (503, f"{NOT_RUN_HEADER}: 1\r\n"),
+    (503, f"{NOT_RUN_HEADER}: 1\r\n{LEAVING_HEADER}: 1\r\n"),
+    (503, f"{NOT_RUN_HEADER}: 1\r\n{RETRY_AFTER_HEADER}: 0.1\r\n"),
+    (429, f"{NOT_RUN_HEADER}: 1\r\n"),
     (421, ""),
-    (400, "Not-Executed: 1\r\n"),
-    (200, "Not-Executed: 1\r\n"),
+    (400, f"{NOT_RUN_HEADER}: 1\r\n"),
+    (200, f"{NOT_RUN_HEADER}: 1\r\n"),
     (500, f"{DIGEST_HEADER}: d\r\n"),
     (404, f"{DIGEST_HEADER}: d\r\n"),
 ]
@@ -516,7 +523,9 @@
         harness.pool.send(SendAttempt(f"x/{number}", "t1", at_ms, request))
         if not harness.protocols:
             harness.accept()
-        harness.protocols[0].dataReceived(platform_reply(503, f"r{number}", "Not-Executed: 1\r\n"))
+        harness.protocols[0].dataReceived(
+            platform_reply(503, f"r{number}", f"{NOT_RUN_HEADER}: 1\r\n")
+        )
         harness.reactor.advance(0.002)
     assert harness.protocols[0].transport.disconnecting is closed
 
