--- a/savoryarch/codec/_reply_parser.py
+++ b/savoryarch/codec/_reply_parser.py
@@ -14,8 +14,8 @@
 # interim replies.
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 MAX_HEAD_BYTES = 64 * 1024
-# Memory of a header beside its text: a tuple of two objects, and an entry of a dict with two more.
-# Headers of a few bytes each would otherwise take over 50 times as much memory as is counted.
+# Upper bound on the memory of a header beside its text: a tuple of two objects, and an entry of a
+# dict with two more. Without it, short headers take some twenty times the memory that is counted.
 HEADER_OVERHEAD_BYTES = 400
 _SLICE_BYTES = 16 * 1024  # fed at a time, so that the limits hold for large reads as well
 _FIRST_FINAL_STATUS = 200
