Targets: end the attempts that wait for a target that begins to drain

What callers saw: an order that waited for a connection to a target was sent to it when one became free, until its deadline, however long the target had reported that it drains.

Cause: the decision on a draining target gave it no new attempts, but left those in its pool.

Change: when a target begins to drain, the attempts that wait for a connection to it end as not sent, and go to other targets or are refused. Probes and cancellations keep waiting. An attribute of the pool that nothing read is removed.

--- a/savoryarch/entry/_target_client.py
+++ b/savoryarch/entry/_target_client.py
@@ -97,7 +97,7 @@
             case LimitConnections(count=count):
                 pool.limit(count)
             case ReturnUnsent():
-                pool.return_unsent("the target asked for no more requests")
+                pool.return_unsent("the target gets no more requests")
 
     def connection_count(self, target_id: str) -> int:
         """Return the number of connections of this instance to a target."""
--- a/savoryarch/entry/_target_pool.py
+++ b/savoryarch/entry/_target_pool.py
@@ -87,7 +87,6 @@
         self.feed = feed
         self.dialect = dialect
         self._limit = DEFAULT_CONNECTION_LIMIT
-        self._min_connections = 0
         # Whether the next connection is opened to find out whether the target accepts one.
         self._probe_wanted = False
         self._open: set[TargetConnection] = set()
@@ -158,7 +157,6 @@
 
     def keep_open(self, count: int) -> None:
         """Open connections until there are `count`, unless the limit or a pause prevents it."""
-        self._min_connections = count
         while len(self._open) < min(count, self._limit) and not self._is_paused():
             self._connect()
 
@@ -177,14 +175,16 @@
         if self._pause_timer is not None:
             self._pause_timer.cancel()
             self._pause_timer = None
-        self.return_unsent("target is not declared any more")
+        while self._waiting:
+            self._waiting.popleft().on_failure(NotSent("target is not declared any more"))
         while self._idle:
             self._retire(self._idle[0])
 
     def return_unsent(self, detail: str) -> None:
-        """End the operations that wait for a connection."""
-        while self._waiting:
-            self._waiting.popleft().on_failure(NotSent(detail))
+        """End the attempts that wait for a connection; probes and cancellations still wait."""
+        for operation in [item for item in self._waiting if isinstance(item, AttemptOperation)]:
+            self._waiting.remove(operation)
+            operation.on_failure(NotSent(detail))
 
     def remove_attempt(self, attempt_id: str) -> None:
         """Remove an attempt that has ended."""
--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -316,6 +316,7 @@
         (lambda harness: harness.pool.cancel("a2"), "cancelled before"),
         (lambda harness: harness.reactor.advance(1.0), "no connection was free"),
         (lambda harness: harness.pool.close(), "not declared"),
+        (lambda harness: harness.pool.return_unsent("drains"), "drains"),
     ],
 )
 def test_attempts_that_wait_for_a_connection_end_as_not_sent(harness, end_attempt_early, detail):
@@ -328,6 +329,18 @@
     assert isinstance(reply, NotSent) and detail in reply.detail
 
 
+def test_a_probe_waits_on_when_attempts_are_returned(harness):
+    """Otherwise the probe would be reported as failed, although the target got none."""
+    harness.pool.limit(1)
+    harness.send("a1")
+    harness.accept()
+    harness.pool.probe()
+    harness.send("a2")
+    harness.pool.return_unsent("drains")
+    assert harness.ended() == [("a2", NotSent)]
+    assert TargetEvidence.PROBE_FAILED not in harness.received_evidence()
+
+
 @pytest.mark.parametrize(
     ("reply", "evidence"),
     [
--- a/savoryarch/forwarding/tests/test_advice.py
+++ b/savoryarch/forwarding/tests/test_advice.py
@@ -124,7 +124,7 @@
     for _ in range(3):
         (send,) = driver.pop_sends()
         driver.feed(TargetAdvised(send.target_id, LEAVES))
-        driver.end_attempt(send, NotSent("the target asked for no more requests"))
+        driver.end_attempt(send, NotSent("the target gets no more requests"))
     outcome = driver.outcome()
     assert isinstance(outcome, Refused) and outcome.not_run
 
--- a/savoryarch/targets/_decide.py
+++ b/savoryarch/targets/_decide.py
@@ -16,6 +16,7 @@
     PeerMessageReceived,
     PeersChanged,
     ProbeTarget,
+    ReturnUnsent,
     Service,
     SetTimer,
     SnapshotId,
@@ -225,16 +226,18 @@
 
 
 def _reconnection_effects(previous: TargetRecord, state: TargetsState) -> tuple[object, ...]:
-    """Return the effect that closes the idle connections to a target that has begun to drain.
+    """Return the effects on the connections to a target whose state has changed.
 
-    For a target that has become live, the effect opens them again.
+    For a target that has begun to drain, no idle connections are kept open, and the attempts that
+    wait for a connection end. They would be sent as soon as one is free, until their deadlines. For
+    a target that has become live, idle connections are opened again.
     """
     record = state.records[previous.target.target_id]
     if record.chart_state == previous.chart_state:
         return ()
     target_id = record.target.target_id
     if record.chart_state == DRAINING:
-        return (OpenConnections(target_id, 0),)
+        return (OpenConnections(target_id, 0), ReturnUnsent(target_id))
     if record.chart_state == LIVE:
         ready_count = ready_connections(record.max_connections, state.settings)
         return (OpenConnections(target_id, ready_count),)
--- a/savoryarch/targets/tests/test_evidence.py
+++ b/savoryarch/targets/tests/test_evidence.py
@@ -21,6 +21,7 @@
     OpenConnections,
     PartReturned,
     ProbeTarget,
+    ReturnUnsent,
     Service,
     SnapshotId,
     Target,
@@ -167,6 +168,10 @@
     [
         ([(1.0, ANSWERED), (9.0, PROBE_DRAINING)], OpenConnections("t", 0)),
         ([(1.0, PROBE_DRAINING), (9000.0, ANSWERED)], OpenConnections("t", 2)),
+        # Attempts that wait for a connection would be sent to a draining target when one is free.
+        ([(1.0, ANSWERED), (9.0, PROBE_DRAINING)], ReturnUnsent("t")),
+        ([(1.0, ANSWERED), (9.0, LEAVING)], ReturnUnsent("t")),
+        ([(1.0, ANSWERED), (9.0, REFUSED), (10.0, LEAVING)], ReturnUnsent("t")),
         ([(1.0, ANSWERED), (9.0, CLOSED)], ProbeTarget("t")),
         ([(1.0, ANSWERED), (2.0, LISTED), (9.0, OTHER_LISTED)], ProbeTarget("t")),
         # A lost target is probed every 500 ms, and a live one without replies every 5 s.
