Discovery: a registration that is older than the report of draining does not end it

Cause: the number of a registration was not decoded, so that the entry which the store got last counted as the newest. A write without a reply may be executed seconds later.

Change: the sequence is decoded, and a registration that says ready with a lower one than the report of the same start is ignored, logged as entry_outdated and counted. Reports are remembered for ten minutes, also when the entry is removed. The stand-in target numbers its registrations.

A sequence that is no count makes an entry malformed, as the other fields do.

--- a/savoryarch/discovery/_entries.py
+++ b/savoryarch/discovery/_entries.py
@@ -7,6 +7,7 @@
 
 from savoryarch.discovery._state import (
     DiscoveryState,
+    DrainReport,
     MalformedEntry,
     StoreEntry,
     UnrelatedEntry,
@@ -38,6 +39,9 @@
 
 # Connections that a target accepts if the forwarding table does not name its service.
 DEFAULT_CONNECTION_LIMIT = 16
+# Time for which it is remembered that a target drains. Writes that the store executes late, after
+# their writer has given them up, come within seconds.
+DRAIN_MEMORY_MS = 600_000.0
 LAPSE_TIMER = "discovery/lapse"  # fires when the next grace period of a missing entry ends
 
 
@@ -138,7 +142,7 @@
                 return result
             return replace(result, state=replace(state, table=entry))
         case RegisteredTarget():
-            return _put_target(result, change.key, entry)
+            return _put_target(result, change.key, entry, now_ms)
         case RegisteredInstance():
             instances = state.instances.set(change.key, entry)
             return replace(result, state=replace(state, instances=instances))
@@ -156,12 +160,20 @@
         return MalformedEntry(f"decoder failed: {error!r:.200}")
 
 
-def _put_target(result: ApplyResult, key: str, target: RegisteredTarget) -> ApplyResult:
+def _put_target(
+    result: ApplyResult, key: str, target: RegisteredTarget, now_ms: float
+) -> ApplyResult:
     """Add or update a target, and log a new or changed registration."""
     state = result.state
     previous = state.targets.get(key)
     if previous == target and key not in state.lapsed:
         return result  # most changes only show that the target lives
+    if _is_outdated(state, target):
+        fields = (("key", key), ("sequence", str(target.sequence)))
+        effects = (Count("store_entries_refused", "outdated"), LogEvent("entry_outdated", fields))
+        return replace(result, effects=result.effects + effects)
+    if target.draining:
+        state = _remember_drain(state, target, now_ms)
     lapsed = state.lapsed.delete(key) if key in state.lapsed else state.lapsed
     state = replace(state, targets=state.targets.set(key, target), lapsed=lapsed)
     if previous == target:
@@ -170,6 +182,28 @@
     return ApplyResult(state, (*result.effects, _log_target(name, key)))
 
 
+def _is_outdated(state: DiscoveryState, target: RegisteredTarget) -> bool:
+    """Return whether a registration is older than the report of the same start that it drains.
+
+    The store may execute a write after its writer has given it up and written again.
+    """
+    report = state.drained.get(target.target.target_id)
+    return report is not None and not target.draining and target.sequence < report.sequence
+
+
+def _remember_drain(
+    state: DiscoveryState, target: RegisteredTarget, now_ms: float
+) -> DiscoveryState:
+    """Remember that a target drains, and forget old reports of others."""
+    recent = {
+        target_id: report
+        for target_id, report in state.drained.items()
+        if now_ms - report.read_at_ms < DRAIN_MEMORY_MS
+    }
+    recent[target.target.target_id] = DrainReport(target.sequence, now_ms)
+    return replace(state, drained=Map(recent))
+
+
 def _reject_entry(result: ApplyResult, key: str, detail: str, now_ms: float) -> ApplyResult:
     """Report a malformed entry, and remove the target or instance that the key named before.
 
--- a/savoryarch/discovery/_state.py
+++ b/savoryarch/discovery/_state.py
@@ -55,6 +55,22 @@
     encode_instance: Callable[[RegisteredInstance], bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class DrainReport:
+    """The registration with which a target reported that it drains.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the registration.
+    read_at_ms : float
+        When it was read.
+    """
+
+    sequence: int
+    read_at_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class DiscoveryState:
     """State of discovery.
@@ -79,6 +95,9 @@
         Time at which a target is removed because its entry is missing, by key of the entry.
     refused : Map
         What is wrong with a malformed entry, by key of the entry.
+    drained : Map
+        `DrainReport` by target id, of targets that reported recently that they drain, also if their
+        entries are gone.
     targets_discovered : bool
         Whether a table and at least one target have been read.
     failures : int
@@ -112,6 +131,7 @@
     instances: Map[str, RegisteredInstance] = field(default_factory=Map)
     lapsed: Map[str, float] = field(default_factory=Map)
     refused: Map[str, str] = field(default_factory=Map)
+    drained: Map[str, DrainReport] = field(default_factory=Map)
     targets_discovered: bool = False
     failures: int = 0
     replied_at_ms: float = NEVER_MS
--- a/savoryarch/discovery/tests/test_discovery.py
+++ b/savoryarch/discovery/tests/test_discovery.py
@@ -19,7 +19,9 @@
     decide_discovery,
     make_discovery_state,
 )
+from savoryarch.discovery._entries import DRAIN_MEMORY_MS
 from savoryarch.model import (
+    Count,
     DeclarationsInForce,
     GrantLease,
     InstancesListed,
@@ -60,15 +62,15 @@
 
 
 def decode(key, value):
-    """Decode test entries such as b'live', b'draining' and b'7'."""
-    text = value.decode()
+    """Decode test entries such as b'live', b'draining', b'draining 7' and b'7'."""
+    text, _, sequence = value.decode().partition(" ")
     if key == "table":
         return ForwardingTable(int(text), ()) if text.isdigit() else MalformedEntry("no version")
     if key.startswith("t/"):
         if text not in ("live", "draining"):
             return MalformedEntry(f"got state {text!r}")
         target = Target(key, "shop", "zone-a", "127.0.0.1", 1)
-        return RegisteredTarget(target, key, 2, text == "draining")
+        return RegisteredTarget(target, key, 2, text == "draining", int(sequence or 0))
     if key.startswith("i/"):
         return RegisteredInstance(key, "zone-a", "127.0.0.1", 2)
     return UnrelatedEntry()
@@ -183,6 +185,44 @@
     assert evidence == [TargetEvidence.LISTED_LEAVING, TargetEvidence.REGISTERED]
 
 
+@pytest.mark.parametrize(
+    ("entries", "last_evidence", "refused_count"),
+    [
+        ([b"draining 5", b"live 6"], TargetEvidence.REGISTERED, 0),
+        ([b"draining 5", b"live 4"], TargetEvidence.LISTED_LEAVING, 1),
+        ([b"draining 5", b"live 4", b"live 4"], TargetEvidence.LISTED_LEAVING, 2),
+        ([b"draining 5", b"live 4", b"draining 6"], TargetEvidence.LISTED_LEAVING, 1),
+        ([b"draining 5", b"draining 7", b"live 6"], TargetEvidence.REGISTERED, 0),
+        ([b"draining 5", b"live 6", b"live 4"], TargetEvidence.REGISTERED, 0),
+        # The entry is removed in between, and a report is remembered without it.
+        ([b"draining 5", None, b"live 4"], TargetEvidence.LISTED_LEAVING, 1),
+        ([b"live 3", None, b"live 2"], None, 0),
+        # Without numbers, the order of the store decides.
+        ([b"draining", b"live"], TargetEvidence.REGISTERED, 0),
+    ],
+)
+def test_an_older_registration_does_not_end_the_draining(entries, last_evidence, refused_count):
+    """Guards against new requests to a draining target after the store executes a write late."""
+    driver = Driver()
+    driver.start(table=b"1", t_a=b"live 1")
+    for number, entry in enumerate(entries):
+        driver.change(("t/a", entry), revision=11 + number)
+    evidence = [event.evidence for event in driver.published(TargetEvidenceReceived)]
+    assert evidence[-1:] == ([last_evidence] if last_evidence else [])
+    outdated = Count("store_entries_refused", "outdated")
+    assert sum(effect == outdated for effect in driver.effects) == refused_count
+    log = LogEvent("entry_outdated", (("key", "t/a"), ("sequence", "4")))
+    assert (log in driver.effects) == (refused_count > 0)
+
+
+def test_an_old_report_of_draining_is_forgotten():
+    driver = Driver()
+    driver.start(table=b"1", t_a=b"draining 5", t_b=b"live 1")
+    driver.now_ms += DRAIN_MEMORY_MS
+    driver.change(("t/b", b"draining 2"))
+    assert set(driver.state.drained) == {"t/b"}
+
+
 @pytest.mark.parametrize(
     ("versions", "applied"),
     [([b"2", b"1"], [1, 2]), ([b"3", b"x", b"4"], [1, 3, 4]), ([b"1"], [1])],
--- a/savoryarch/model/forwarding.py
+++ b/savoryarch/model/forwarding.py
@@ -193,12 +193,16 @@
         Number of requests that it runs concurrently.
     draining : bool
         Whether it has announced that it will stop.
+    sequence : int
+        Number that the target increases with each registration. It is not compared, because the
+        registrations with which a target only renews its entry differ in nothing else.
     """
 
     target: Target
     name: str
     slots: int
     draining: bool
+    sequence: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/platform/_records.py
+++ b/savoryarch/platform/_records.py
@@ -42,6 +42,7 @@
 _ByteCount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT64)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
 _UnixMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT64)]
+_Sequence = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT64)]
 _Version = Annotated[int, msgspec.Meta(ge=-_MAX_INT64, le=_MAX_INT64)]
 _DurationMs = Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_MS)]
 _Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
@@ -100,6 +101,8 @@
     state: str
     # Start of the target in Unix milliseconds; a new start under the same name is a new target.
     born: _UnixMs = 0
+    # Number of the registration since that start.
+    sequence: _Sequence = 0
 
 
 class _InstanceRegistration(msgspec.Struct):
@@ -255,7 +258,8 @@
         host,
         port,
     )
-    return RegisteredTarget(target, name, registration.slots, registration.state == _DRAINING)
+    is_draining = registration.state == _DRAINING
+    return RegisteredTarget(target, name, registration.slots, is_draining, registration.sequence)
 
 
 def _split_address(address: str) -> tuple[str, int]:
--- a/savoryarch/platform/tests/test_wire.py
+++ b/savoryarch/platform/tests/test_wire.py
@@ -220,16 +220,17 @@
 
 
 @pytest.mark.parametrize(
-    ("fields", "target_id", "draining"),
+    ("fields", "target_id", "draining", "sequence"),
     [
-        ({}, "i-7@0", False),
-        ({"born": 1700000000000}, "i-7@1700000000000", False),
-        ({"state": "draining"}, "i-7@0", True),
+        ({}, "i-7@0", False, 4),
+        ({"born": 1700000000000}, "i-7@1700000000000", False, 4),
+        ({"state": "draining", "sequence": 5}, "i-7@0", True, 5),
     ],
 )
-def test_a_target_is_decoded(fields, target_id, draining):
+def test_a_target_is_decoded(fields, target_id, draining, sequence):
     target = decode_target("i-7", msgspec.json.encode(TARGET_REGISTRATION | fields))
     assert (target.target.target_id, target.name, target.draining) == (target_id, "i-7", draining)
+    assert target.sequence == sequence
     assert (target.target.host, target.target.port) == ("10.128.0.9", 8080)
 
 
--- a/savoryarch_standins/forwarded/_registrar.py
+++ b/savoryarch_standins/forwarded/_registrar.py
@@ -37,6 +37,7 @@
         self._store = store
         self._reactor = reactor
         self._key = TARGETS_PREFIX + name
+        self._sequence = 0
         self._wanted_value = b""
         self._registered_value = b""
         self._lease_id: int | None = None
@@ -48,7 +49,9 @@
 
     def publish(self, fields: dict[str, Any]) -> None:
         """Register the target with these fields; without any, its registration lapses."""
-        self._wanted_value = msgspec.json.encode(fields) if fields else b""
+        self._sequence += 1
+        registration = fields | {"sequence": self._sequence}
+        self._wanted_value = msgspec.json.encode(registration) if fields else b""
         self._renew()
 
     def _renew(self) -> None:
