Tests: no new work reaches a draining target, in any order of evidence and after cuts

The property test feeds registrations, late writes, removals, outages, lists, probes, connections, replies and peer messages to a whole instance, and checks after each event that neither the next request nor an attempt that has waited for a connection goes to a target that drains. The process test cuts the path to a target that drains meanwhile, by connections that hang or are refused, once or twice, and with a late write.

The last three guards are in make guards.

--- a/savoryarch/forwarding/tests/guards.py
+++ b/savoryarch/forwarding/tests/guards.py
@@ -8,9 +8,11 @@
 POLLING = "savoryarch/discovery/tests/test_polling.py"
 ADVICE = "savoryarch/targets/tests/test_advice.py"
 ENTRIES = "savoryarch/platform/tests/test_odd_entries.py"
+ANY_ORDER = "test_a_draining_target_gets_no_new_work_whatever_the_order_of_evidence"
 FAULTS = "savoryarch/entry/tests/test_instance_faults.py"
 MEMORY = "savoryarch/entry/tests/test_reply_memory.py"
 POOL = "savoryarch/entry/tests/test_target_pool.py"
+DRAINING_TESTS = "savoryarch/tier/tests/test_draining.py"
 
 AT_MOST_ONCE = "A non-idempotent request is sent again only if nothing of it ran."
 BUDGET = "Extra attempts stay within the budget of a service."
@@ -21,6 +23,7 @@
 RETRY = "Clients that were refused together do not retry together."
 RECOVERY = "A target that has recovered gets requests again."
 LEAVING = "A target that says that it leaves gets nothing more."
+DRAINING = "A target that drains gets no new work."
 PAUSE = "A target that asks for a pause gets it."
 ROBUST = "One odd message or error concerns nothing else."
 CONFIGURATION = "A configuration comes into force in time, and no older one after it."
@@ -66,6 +69,10 @@
     return []
 
 
+def _no_effects(previous, state):
+    return ()
+
+
 def _return_true(*_):
     return True
 
@@ -136,6 +143,33 @@
         _no_evidence,
         (f"{DISCOVERY}::test_a_target_that_stops_draining_is_published",),
     ),
+    Guard(
+        "ignore a registration that is older than the report of draining",
+        DRAINING,
+        "savoryarch.discovery._entries",
+        "_is_outdated",
+        _return_false,
+        (
+            f"{DISCOVERY}::test_an_older_registration_does_not_end_the_draining",
+            f"{DRAINING_TESTS}::{ANY_ORDER}",
+        ),
+    ),
+    Guard(
+        "end the attempts that wait for a connection to a target that drains",
+        DRAINING,
+        "savoryarch.targets._decide",
+        "_reconnection_effects",
+        _no_effects,
+        (f"{DRAINING_TESTS}::{ANY_ORDER}",),
+    ),
+    Guard(
+        "accept an answer of a draining target's health endpoint only after the lag",
+        DRAINING,
+        "savoryarch.targets._target_chart",
+        "_is_fresh",
+        _return_true,
+        (f"{DRAINING_TESTS}::{ANY_ORDER}",),
+    ),
     Guard(
         "announce urgent changes in the store to peers",
         CONFIGURATION,
--- a/savoryarch_soak/_small_deployment.py
+++ b/savoryarch_soak/_small_deployment.py
@@ -1,5 +1,6 @@
 """A small deployment with forwarded routes, for benchmarks, tests and the demonstration."""
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from http.client import HTTPConnection
 from pathlib import Path
@@ -8,14 +9,16 @@
 import msgspec
 import requests
 
-from savoryarch.model import SwapKey
+from savoryarch.model import KeyRead, ReadKey, StoreCall, StoreReply, SwapKey
 from savoryarch.platform import (
     CONFIGURATION_KEY,
     DEADLINE_HEADER,
     PART_DIGESTS_HEADER,
     REQUEST_ID_HEADER,
+    decode_store_reply,
     encode_store_call,
 )
+from savoryarch.store import ListPage, StoreHttpReply
 from savoryarch_soak._instances import find_free_addresses, render_settings
 from savoryarch_soak._route_table import make_route_table
 from savoryarch_standins.forwarded import Arrival
@@ -63,10 +66,19 @@
     ----------
     folder : Path
         Folder for settings and logs.
+    registered_ports : mapping of str to int, optional
+        Ports that targets register instead of those that they listen on, by the name of the target.
+
+    Attributes
+    ----------
+    target_ports : dict of str to int
+        Ports that the targets listen on, by name.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, registered_ports: Mapping[str, int] | None = None) -> None:
         self._folder = folder
+        self._registered_ports = registered_ports or {}
+        self.target_ports: dict[str, int] = {}
         self._started: list[ManagedProcess] = []
 
     def __enter__(self) -> "SmallDeployment":
@@ -76,11 +88,17 @@
             url = f"http://{self._store}"
             self._controls: list[str] = []
             for replica in range(REPLICAS):
-                target_specs = ",".join(f"{name}-{replica}:{name}:0" for name in SERVICES)
+                target_specs = ",".join(
+                    f"{name}-{replica}:{name}:{self._registered_ports.get(f'{name}-{replica}', 0)}"
+                    for name in SERVICES
+                )
                 arguments = ["-m", "savoryarch_standins.forwarded", "--store", url]
                 targets = self._start(f"targets-{replica}", [*arguments, "--targets", target_specs])
                 fields = targets.ready_fields
                 self._controls.append(f"http://{fields['host']}:{fields['control']}")
+                for port in fields["ports"].split(","):
+                    name, _, number = port.partition(":")
+                    self.target_ports[name] = int(number)
             self.write_entry(CONFIGURATION_KEY, make_route_table(1, SHARDS, ROUTE_HOST))
         except BaseException:
             self.__exit__()
@@ -118,9 +136,13 @@
 
     def write_entry(self, key: str, value: bytes) -> None:
         """Write a new entry into the store."""
-        call = encode_store_call(SwapKey("write", key, value, 0), "")
-        url = f"http://{self._store}{call.path}"
-        requests.post(url, data=call.body, timeout=HTTP_TIMEOUT_S).raise_for_status()
+        self._call_store(SwapKey("write", key, value, 0))
+
+    def rewrite_entry(self, key: str, update: Callable[[bytes], bytes]) -> None:
+        """Replace the value of an entry of the store by what `update` returns for it."""
+        entry = self._call_store(ReadKey("read", key))
+        assert isinstance(entry, KeyRead)
+        self._call_store(SwapKey("write", key, update(entry.value), entry.revision))
 
     def drive_target(self, replica: int, name: str, event: str) -> None:
         """Trigger an event of the chart ``forwarded_target`` for a target of one replica."""
@@ -140,6 +162,21 @@
             arrivals += msgspec.json.decode(reply.content, type=_ArrivalsPage).arrivals
         return sorted(arrivals, key=lambda item: item.at_ms)
 
+    def _call_store(self, call: StoreCall) -> StoreReply:
+        request = encode_store_call(call, "")
+        url = f"http://{self._store}{request.path}"
+        reply = requests.request(
+            request.method,
+            url,
+            params=dict(request.query),
+            data=request.body,
+            timeout=HTTP_TIMEOUT_S,
+        )
+        reply.raise_for_status()
+        decoded = decode_store_reply(call, StoreHttpReply(reply.status_code, reply.content))
+        assert not isinstance(decoded, ListPage)
+        return decoded
+
     def _start(self, name: str, arguments: list[str]) -> ManagedProcess:
         process = start_process(name, arguments, self._folder)
         self._started.append(process)
