Shutdown: answer the searches and orders that are unfinished at its deadline

What callers saw: searches and orders of the project's own interface that a planned stop could not complete were cut: their connections closed without an answer.

Cause: searches and orders ignored the event with which a shutdown announces the exit.

Change: a search that waits for admission is refused as not run; one that runs gets the shards that have replied, if they suffice, or is refused. An order of which nothing was sent is refused as not run, as far as its key is known to be unused; the outcome of one that was sent is unknown (event shutdown_expired of the chart order). Three steps of a query move to the module of its chart.

--- a/savoryarch/orders/_decide.py
+++ b/savoryarch/orders/_decide.py
@@ -22,6 +22,7 @@
     RouteRequested,
     SendToPeer,
     SetTimer,
+    ShutdownTimeExpired,
     StoreReplied,
     TimerFired,
 )
@@ -114,10 +115,25 @@
             return context.update_state(declarations=declarations)
         case RequestIntakeStopped():
             return context.update_state(stopping=True)
+        case ShutdownTimeExpired():
+            return _end_orders(context, event)
         case _:
             return context
 
 
+def _end_orders(context: DecisionContext, event: ShutdownTimeExpired) -> DecisionContext:
+    """Answer every order now, because its caller would get no answer after the exit.
+
+    An order with an attempt in flight may have run. New requests are refused; an urgent stop does
+    not stop their intake before.
+    """
+    context = context.update_state(stopping=True)
+    for _, order in sorted_items(context.state.orders):
+        ending = replace(order, detail="instance_stopped")
+        context = step_order(context, ending, "shutdown_expired", event)
+    return context
+
+
 def _start_order(context: DecisionContext, request: RouteRequested) -> DecisionContext:
     route = context.state.declarations.routes.get(request.route)
     reason = _immediate_refusal(context, request, route)
--- a/savoryarch/orders/_order_answers.py
+++ b/savoryarch/orders/_order_answers.py
@@ -19,6 +19,7 @@
     RouteOutcome,
     RouteOutcomeUnknown,
     RouteReturned,
+    ShutdownTimeExpired,
 )
 from savoryarch.orders._claims import make_recorded_answer
 from savoryarch.orders._state import DecisionContext, Order
@@ -78,6 +79,10 @@
         case ClaimFailed(detail=detail):
             detail = f"the key could not be claimed: {detail}"
             return _answer(context, order, Refused(unavailable, detail, order.key_unused))
+        case ShutdownTimeExpired():
+            detail = "the instance stops, and the key is not claimed yet"
+            refused = Refused(RefusalReason.STOPPING, detail, order.key_unused)
+            return _answer(context, order, refused)
         case _:
             detail = "the key could not be claimed in time"
             return _answer(context, order, Refused(unavailable, detail, order.key_unused))
@@ -87,7 +92,9 @@
     """Refuse a request that no target ran, or answer that it may have run if one did."""
     if order.may_have_run:
         return _answer(context, order, RouteOutcomeUnknown(f"it may have run: {order.detail}"))
-    if order.attempts_sent:
+    if isinstance(cause, ShutdownTimeExpired):
+        refused = Refused(RefusalReason.STOPPING, "the instance stops", not_run=True)
+    elif order.attempts_sent:
         refused = Refused(RefusalReason.OVERLOADED, f"not run: {order.detail}", not_run=True)
     elif is_too_late(order, context.now_ms):
         detail = "the deadline passed before it could be sent"
--- a/savoryarch/orders/tests/test_orders.py
+++ b/savoryarch/orders/tests/test_orders.py
@@ -18,6 +18,8 @@
     RouteDone,
     RouteOutcomeUnknown,
     RouteReturned,
+    Shed,
+    ShutdownTimeExpired,
 )
 from savoryarch.orders import OrdersSettings, unfinished_requests
 from savoryarch.orders._ownership import owner_of
@@ -25,6 +27,7 @@
 from savoryarch.orders.tests.test_scenarios import SHORT_RETENTION, WALL_MS
 
 DONE = RouteDone(201, b'{"order":1}')
+DONE_REPLY = RouteReturned(201, b'{"order":1}')
 RECORDED = RouteDone(201, b'{"order":1}', recorded=True)
 
 
@@ -72,6 +75,47 @@
     assert simulation.outcome(simulation.send_request("a", "k1")).reason == reason
 
 
+@pytest.mark.parametrize("relays", [True, False])
+@pytest.mark.parametrize("instance", ["a", "b"])
+@pytest.mark.parametrize("fault", ["", "store", "targets", "held"])
+@pytest.mark.parametrize("stopped_after_ms", [0.0, 1.0, 3.0, 5.0, 9.0, 15.0, 24.0, 26.0, 40.0])
+def test_the_end_of_a_shutdown_answers_every_order(relays, instance, fault, stopped_after_ms):
+    """Guards against orders that a planned stop cuts without an answer.
+
+    The answer is true, and a resend at another instance does not run the order again.
+    """
+    simulation = Simulation(("a", "b"), OrdersSettings(relays_claims=relays))
+    match fault:
+        case "store":
+            simulation.cut_links |= {("store", "a"), ("store", "b")}
+        case "targets":
+            simulation.target_reply = lambda run: Shed(20.0)
+        case "held":
+            simulation.send_request("b" if instance == "a" else "a", "k1")
+            simulation.run(4.0)
+            stopped_after_ms += 4.0
+    sent = simulation.send_request(instance, "k1")
+    simulation.run(stopped_after_ms)
+    simulation.feed(instance, ShutdownTimeExpired())
+    answer = simulation.outcome(sent)
+    assert isinstance(answer, Refused | RouteOutcomeUnknown | RouteDone)
+    late = simulation.outcome(simulation.send_request(instance, "k2"))
+    assert late.reason is RefusalReason.STOPPING
+    simulation.kill(instance)
+    simulation.update_peers()
+    simulation.run(stopped_after_ms + 100.0)
+    runs = simulation.runs_by_request_id[sent]
+    if isinstance(answer, Refused):
+        assert answer.reason is RefusalReason.STOPPING
+        assert not runs
+    simulation.cut_links.clear()
+    simulation.target_reply = lambda run: DONE_REPLY
+    (other,) = simulation.nodes
+    simulation.send_request(other, "k1")
+    simulation.run(10_000)
+    assert simulation.runs["order", "k1"] <= 1
+
+
 def test_another_body_under_the_same_key_is_refused():
     simulation = Simulation(("a", "b"))
     first, second = simulation.send_request("a", "k1"), simulation.send_request(
--- a/savoryarch/search/_decide.py
+++ b/savoryarch/search/_decide.py
@@ -20,6 +20,7 @@
     SearchRequested,
     SendToPeer,
     SetTimer,
+    ShutdownTimeExpired,
     TimerFired,
 )
 from savoryarch.quarantine import (
@@ -45,9 +46,11 @@
 from savoryarch.search._query_chart import (
     ANSWER_TIMER,
     EARLY_ANSWER_TIMER,
-    has_enough_coverage,
+    abandon_query,
+    answer_early,
+    answer_when_due,
+    end_query,
     is_finished,
-    step_query,
 )
 from savoryarch.search._replies import is_complete_part
 from savoryarch.search._sending import CAPACITY_TIMER, OVERDUE_TIMER
@@ -104,7 +107,7 @@
         case TimerFired(timer_id=timer_id):
             return _handle_timer(state, targets, timer_id, now_ms)
         case CallerDisconnected(request_id=request_id):
-            return _update_query(state, targets, request_id, now_ms, _handle_disconnect)
+            return _update_query(state, targets, request_id, now_ms, abandon_query)
         case DeclarationsInForce(declarations=declarations):
             return DecidedOnTargets(_apply_declarations(state, targets, declarations), targets)
         case PeerMessageReceived(message=message):
@@ -116,10 +119,23 @@
             return _update_peers(state, targets, frozenset(live), now_ms)
         case RequestIntakeStopped():
             return DecidedOnTargets(replace(state, stopping=True), targets)
+        case ShutdownTimeExpired():
+            return _end_queries(state, targets, now_ms)
         case _:
             return DecidedOnTargets(state, targets)
 
 
+def _end_queries(state: SearchState, targets: TargetsState, now_ms: float) -> DecidedSearch:
+    """Answer or refuse every query now, because its caller would get no answer after the exit.
+
+    New requests are refused; an urgent stop does not stop their intake before.
+    """
+    decided: DecidedSearch = DecidedOnTargets(replace(state, stopping=True), targets)
+    for request_id in sorted(state.queries):
+        decided = _chain_decisions(decided, request_id, now_ms, end_query)
+    return decided
+
+
 def _apply_declarations(
     state: SearchState, targets: TargetsState, declarations: Declarations
 ) -> SearchState:
@@ -263,26 +279,6 @@
     return _commit_query(step(DecisionContext(state, targets, query, now_ms)))
 
 
-def _handle_disconnect(context: DecisionContext) -> DecisionContext:
-    return step_query(context, "caller_disconnected")
-
-
-def _answer_when_due(context: DecisionContext) -> DecisionContext:
-    """Answer the query shortly before its deadline, or refuse it if its coverage is too low."""
-    return step_query(
-        context, "due" if has_enough_coverage(context, len(context.query.parts)) else "unanswerable"
-    )
-
-
-def _answer_early(context: DecisionContext) -> DecisionContext:
-    """Answer a query that prefers latency, if its coverage suffices."""
-    return (
-        step_query(context, "due")
-        if has_enough_coverage(context, len(context.query.parts))
-        else context
-    )
-
-
 def _handle_timer(
     state: SearchState, targets: TargetsState, timer_id: str, now_ms: float
 ) -> DecidedSearch:
@@ -389,7 +385,7 @@
 
 
 _TIMER_STEPS: dict[str, Callable[[DecisionContext], DecisionContext]] = {
-    ANSWER_TIMER: _answer_when_due,
-    EARLY_ANSWER_TIMER: _answer_early,
+    ANSWER_TIMER: answer_when_due,
+    EARLY_ANSWER_TIMER: answer_early,
     OVERDUE_TIMER: check_overdue,
 }
--- a/savoryarch/search/_query_chart.py
+++ b/savoryarch/search/_query_chart.py
@@ -75,6 +75,36 @@
     return answered > 0 and answered >= required - _ROUNDING_TOLERANCE
 
 
+def abandon_query(context: DecisionContext) -> DecisionContext:
+    """End the query without an answer, because its caller has disconnected."""
+    return step_query(context, "caller_disconnected")
+
+
+def answer_when_due(context: DecisionContext) -> DecisionContext:
+    """Answer the query shortly before its deadline, or refuse it if its coverage is too low."""
+    return step_query(
+        context, "due" if has_enough_coverage(context, len(context.query.parts)) else "unanswerable"
+    )
+
+
+def answer_early(context: DecisionContext) -> DecisionContext:
+    """Answer a query that prefers latency, if its coverage suffices."""
+    return (
+        step_query(context, "due")
+        if has_enough_coverage(context, len(context.query.parts))
+        else context
+    )
+
+
+def end_query(context: DecisionContext) -> DecisionContext:
+    """Answer the query with the parts that it has, or refuse it, because the instance exits."""
+    query = context.query
+    context = replace(context, query=replace(query, refusal=RefusalReason.STOPPING))
+    if query.chart_state == CHART.initial:
+        return step_query(context, "rejected")
+    return answer_when_due(context)
+
+
 def leave_out(context: DecisionContext, service: str, reason: LeftOutReason) -> DecisionContext:
     """Move a shard from the pending shards to those left out, and count the reason."""
     query = context.query
--- a/savoryarch/search/tests/test_admission.py
+++ b/savoryarch/search/tests/test_admission.py
@@ -18,6 +18,7 @@
     Refused,
     RequestIntakeStopped,
     SendToPeer,
+    ShutdownTimeExpired,
 )
 from savoryarch.quarantine import QuarantineDeclared, fingerprint_request
 from savoryarch.search import FixedDelayHedging, SearchSettings, unfinished_requests
@@ -89,6 +90,47 @@
     assert unfinished_requests(driver.search) == ()
 
 
+@pytest.mark.parametrize(
+    ("request_id", "slow_shards", "outcome"),
+    [
+        ("r0", 3, (RefusalReason.STOPPING, False)),
+        ("r0", 2, (RefusalReason.STOPPING, False)),
+        ("r0", 1, 2),
+        # Still waits for admission.
+        ("r1", 1, (RefusalReason.STOPPING, True)),
+    ],
+)
+@pytest.mark.parametrize("intake_stopped", [True, False])
+def test_the_end_of_a_shutdown_answers_every_search(
+    request_id, slow_shards, outcome, intake_stopped
+):
+    """Guards against searches that a planned stop cuts without an answer.
+
+    `outcome` has the reason of a refusal and whether it says not run, or the shards in the answer.
+    """
+    slow = {f"balcao-{number:02}" for number in range(slow_shards)}
+
+    def reply(send, now_ms):
+        is_slow = send.target_id.rpartition("-")[0] in slow
+        return return_part(send, 400.0 if is_slow else 5.0)
+
+    driver = Driver(make_declarations(minimum_coverage=0.6), reply, admission=ONE_AT_A_TIME)
+    driver.request_search("r0")
+    driver.request_search("r1")
+    driver.run(until_ms=50.0)
+    if intake_stopped:
+        driver.apply_event(RequestIntakeStopped())
+    driver.apply_event(ShutdownTimeExpired())
+    answer = driver.outcome(request_id)
+    if isinstance(answer, Refused):
+        assert (answer.reason, answer.not_run) == outcome
+    else:
+        assert answer.coverage.answered == outcome
+    assert unfinished_requests(driver.search) == ()
+    driver.request_search("r2")
+    assert driver.outcome("r2").reason is RefusalReason.STOPPING
+
+
 def test_a_query_that_crashes_two_targets_is_quarantined():
     # Without the quarantine, retries of the query would crash every replica of the shard.
     driver = Driver(script=crash_on_poison)
--- a/tests/process/test_planned_stop.py
+++ b/tests/process/test_planned_stop.py
@@ -4,6 +4,7 @@
 that refused them or closed connections at once would cut these requests.
 """
 
+import json
 import re
 import signal
 from http.client import HTTPConnection
@@ -14,12 +15,14 @@
 
 from savoryarch.platform import DEADLINE_HEADER, REQUEST_ID_HEADER
 from savoryarch_soak import _instances, _small_deployment
+from savoryarch_standins.harness import Cluster, ClusterPlan, EntryPlan
 from tests.process.callers import Callers, runs_per_key
-from tests.process.conftest import PLAN, TIMEOUT_S, wait_for_configuration
+from tests.process.conftest import PLAN, RESOURCES, TIMEOUT_S, wait_for_configuration
 
 REPEATED_SIGNALS = 3  # a platform may send SIGTERM more than once
 STOP_TIMEOUT_S = 20.0
 SHORT_GRACE_MS = 1500
+PATHS = ("searches/counter", "routes/order")
 
 
 @pytest.mark.process
@@ -100,3 +103,50 @@
         assert entry.wait_for_exit(STOP_TIMEOUT_S) == 1
         arrived = {item.request_id for item in deployment.read_arrivals()}
         assert {"late-order", "late-read"} <= arrived
+
+
+@pytest.mark.process
+@pytest.mark.parametrize("sent_after_ms", [0, 300])
+def test_a_stop_answers_the_searches_and_orders_that_it_cannot_complete(sent_after_ms):
+    """Guards against searches and orders that are cut at the deadline of a stop.
+
+    The targets do not reply. Requests are sent before the signal, or while the instance still
+    accepts them.
+    """
+    grace = {"balancer_lag_ms": "1000", "shutdown_deadline_ms": str(SHORT_GRACE_MS)}
+    plan = ClusterPlan(entries=(EntryPlan("entry-1", "zone-a"),), settings={"shutdown": grace})
+    with Cluster(plan) as cluster:
+        cluster.apply_resources(RESOURCES)
+        entry = cluster.entries["entry-1"]
+        wait_for_configuration(entry)
+        callers = entry.address("callers")
+        connections = [
+            HTTPConnection(callers.host, callers.port, timeout=TIMEOUT_S) for _ in range(2)
+        ]
+
+        def send(connection, path, key):
+            headers = {"x-caller": "counter-app", "idempotency-key": key}
+            body = json.dumps({"plate": 7})
+            connection.request("POST", f"/v1/{path}", body, headers)
+
+        for connection, path in zip(connections, PATHS, strict=True):
+            send(connection, path, "before")
+            answer = connection.getresponse()
+            assert answer.status == 200, answer.read()
+            answer.read()
+        for targets in cluster.targets.values():
+            targets.send_signal(signal.SIGSTOP)
+        if sent_after_ms:
+            entry.send_signal(signal.SIGTERM)
+            Event().wait(sent_after_ms / 1000.0)
+        for connection, path in zip(connections, PATHS, strict=True):
+            send(connection, path, "late")
+        if not sent_after_ms:
+            Event().wait(0.3)
+            entry.send_signal(signal.SIGTERM)
+        answers = [connection.getresponse() for connection in connections]
+        search, order = (json.loads(answer.read()) for answer in answers)
+        assert (search["outcome"], search["reason"]) == ("refused", "stopping")
+        assert search["not_run"] is False
+        assert order["outcome"] == "unknown"
+        assert entry.wait_for_exit(STOP_TIMEOUT_S) == 1
