Start: handle signals from the first line, and open closed descriptors

With standard descriptors closed, a connection may get the number of the log.

Cause: SIGHUP was ignored only after the interpreter had loaded the start-up files of the machine (module site) and the module signal; SIGTERM had no handler until the loop ran.

Change: the first line ignores SIGHUP through the built-in module, the interpreter starts without site, and until the loop runs a planned stop ends the process with code 0, as nothing has been accepted.

The deploy file's test now checks the interpreter's option as well.

--- a/Makefile
+++ b/Makefile
@@ -52,5 +52,5 @@
 binary: env ## build the one-file program dist/savoryarch
 	rm -rf build/site dist && mkdir dist
 	$(BIN)/pip install --quiet --no-deps --target build/site --requirement requirements.txt .
-	$(BIN)/shiv --site-packages build/site --entry-point savoryarch.cli:main \
+	$(BIN)/shiv --site-packages build/site --entry-point savoryarch.__main__:main \
 		--python '/usr/bin/env python3.11' --reproducible --output-file dist/savoryarch
--- a/deploy/main.py
+++ b/deploy/main.py
@@ -6,16 +6,22 @@
     main.py store-class-code         called by the build; see `class_code`
 """
 
-import gc
-import signal
-import sys
+import _signal  # the module `signal` loads others first, which takes as long as the interpreter
 
 # The program reloads its settings on SIGHUP. Before it has set its handler, the default action
 # would end the process, so that the signal is ignored until then.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+
+import gc  # noqa: E402
+import sys  # noqa: E402
+
 # Imported modules are never garbage; collections during the import take a tenth of the start time.
 gc.disable()
 
+from savoryarch._first_steps import prepare_process  # noqa: E402
+
+prepare_process()
+
 from class_code import store_code, use_stored_code  # noqa: E402
 
 compiled = use_stored_code()
--- a/savoryarch/__main__.py
+++ b/savoryarch/__main__.py
@@ -1,11 +1,16 @@
 """Runs the program as ``python -m savoryarch``."""
 
-import signal
-import sys
+import _signal  # the module `signal` loads others first, which takes as long as the interpreter
 
-# SIGHUP requests to reload the settings. It is ignored from the first line on, because its default
-# action would end a process that has not loaded its settings yet.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+# SIGHUP requests to reload the settings. Its default action would end the process.
+_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+
+import sys  # noqa: E402
+
+from savoryarch._first_steps import prepare_process  # noqa: E402
+
+if sys.argv[1:2] == ["serve"]:
+    prepare_process()
 
 from savoryarch.cli import main  # noqa: E402
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -84,7 +84,9 @@
 def test_the_deploy_file_refers_to_existing_files():
     role = tomllib.loads((DEPLOY / "system.toml").read_text())["roles"]["entry"]
     assert (ROOT / role["template"]).is_file()
-    assert role["run"].split()[1].startswith("target/app/main.py")
+    program, *options = role["run"].split()
+    # Without the module `site`, whose start-up files are those of the machine and not of the build.
+    assert (program, options[:2]) == ("python3", ["-S", "target/app/main.py"])
 
 
 @pytest.mark.parametrize(
