Start: wait for settings that are absent or incomplete

Cause: the only attempt to load the settings was at the first moment. Change: the entry point of the platform tries again every 0.1 s for 10 s, and writes a line when it begins to wait.

--- a/deploy/main.py
+++ b/deploy/main.py
@@ -28,10 +28,17 @@
 
 from savoryarch.entry import run_entry  # noqa: E402
 from savoryarch.exceptions import FindingsError  # noqa: E402
-from savoryarch.settings import load_settings  # noqa: E402
+from savoryarch.settings import await_settings  # noqa: E402
 
 # The exit codes of the command line, whose module would load its library.
 REFUSED_EXIT_CODE, USAGE_EXIT_CODE = 1, 2
+SETTINGS_TIMEOUT_MS = 10_000.0  # the platform may place the file while the process starts
+
+
+def report_wait(error: FindingsError) -> None:
+    """Write a log line about settings that are not there yet."""
+    findings = str(error).replace('"', "'").replace("\n", "; ")
+    print(f'event=settings_awaited findings="{findings}"', file=sys.stderr)
 
 
 def main(arguments: list[str]) -> int:
@@ -39,7 +46,7 @@
     match arguments:
         case ["serve", "--settings", path]:
             try:
-                settings = load_settings(path)
+                settings = await_settings(path, SETTINGS_TIMEOUT_MS, report_wait)
             except FindingsError as error:
                 print(error, file=sys.stderr)
                 return REFUSED_EXIT_CODE
--- a/savoryarch/settings/__init__.py
+++ b/savoryarch/settings/__init__.py
@@ -1,7 +1,13 @@
 """Settings of one instance: their declaration, and the parser of the settings file."""
 
 from savoryarch.settings._describe import FieldRow, describe_fields, format_field_table
-from savoryarch.settings._load import SECTION_CLASSES, Settings, load_settings, parse_settings
+from savoryarch.settings._load import (
+    SECTION_CLASSES,
+    Settings,
+    await_settings,
+    load_settings,
+    parse_settings,
+)
 from savoryarch.settings._sections import (
     CallersSettings,
     InstanceSettings,
@@ -25,6 +31,7 @@
     "PeersSettings",
     "PlatformSettings",
     "Settings",
+    "await_settings",
     "describe_fields",
     "format_field_table",
     "load_settings",
--- a/savoryarch/settings/_load.py
+++ b/savoryarch/settings/_load.py
@@ -1,5 +1,6 @@
 """Parser of the settings file of one instance."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Any, get_type_hints
@@ -35,8 +36,11 @@
     format_suggestion,
     parse_ini,
     parse_section,
+    sleep,
 )
 
+SETTINGS_CHECK_INTERVAL_MS = 100.0  # between attempts to load a file that is not there yet
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
@@ -99,6 +103,40 @@
     return settings
 
 
+def await_settings(
+    path: str | Path, timeout_ms: float, report: Callable[[FindingsError], None]
+) -> Settings:
+    """Load a settings file, and wait for one that is absent or incomplete.
+
+    Parameters
+    ----------
+    path : str or Path
+        Path of the file.
+    timeout_ms : float
+        Time in ms after which the wait ends.
+    report : callable
+        Called once, with the findings of the first attempt, if it fails.
+
+    Returns
+    -------
+    settings : Settings
+        As `load_settings` returns them.
+
+    Raises
+    ------
+    FindingsError
+        If the file has errors or cannot be read when the time has passed.
+    """
+    for attempt in range(int(timeout_ms / SETTINGS_CHECK_INTERVAL_MS)):
+        try:
+            return load_settings(path)
+        except FindingsError as error:
+            if attempt == 0:
+                report(error)
+        sleep(SETTINGS_CHECK_INTERVAL_MS)
+    return load_settings(path)
+
+
 def parse_settings(text: str, source: str) -> tuple[Settings | None, tuple[Finding, ...]]:
     """Parse the text of a settings file.
 
--- a/savoryarch/utils/__init__.py
+++ b/savoryarch/utils/__init__.py
@@ -1,7 +1,13 @@
 """General helpers that do not depend on any other subpackage."""
 
 from savoryarch.utils._budget import Budget, add_tokens, spend_tokens
-from savoryarch.utils._clock import Clock, make_monotonic_clock, make_wall_clock, set_reactor_clock
+from savoryarch.utils._clock import (
+    Clock,
+    make_monotonic_clock,
+    make_wall_clock,
+    set_reactor_clock,
+    sleep,
+)
 from savoryarch.utils._findings import Finding, Place, format_findings
 from savoryarch.utils._heap import Heap, heap_pop, heap_push
 from savoryarch.utils._ini import IniDocument, IniEntry, IniSection, parse_ini
@@ -61,6 +67,7 @@
     "replace",
     "set_reactor_clock",
     "setting",
+    "sleep",
     "sorted_items",
     "spend_tokens",
     "start_lingering_close",
--- a/savoryarch/utils/_clock.py
+++ b/savoryarch/utils/_clock.py
@@ -47,6 +47,11 @@
     reactor.seconds = clock.read_s
 
 
+def sleep(duration_ms: float) -> None:
+    """Suspend the process for a time in ms, before its event loop runs."""
+    time.sleep(duration_ms / MS_PER_S)
+
+
 def make_wall_clock() -> Clock:
     """Make the clock of calendar time, which counts from the Unix epoch."""
     return Clock(read_s=time.time)
