Listeners: reserve addresses at the start, and wait for one that is taken

A predecessor may serve its last requests for 5.7 s, the local end of an outgoing connection may last for hours, and a machine that was just added may get its address late.

Cause: the attempts ended after 5 s. Besides, an address was unused until the instance was ready, without end while the store was away, so that the system could give its port to any connection.

Change: attempts do not end; the instance is not ready meanwhile, and logs each doubling of their number. Front, readiness, metrics and peers' addresses are bound at the start, and opened when they are needed. Any failure to open the address for peers is retried, not only one in use.

--- a/savoryarch/entry/_listen_retry.py
+++ b/savoryarch/entry/_listen_retry.py
@@ -1,7 +1,8 @@
 """Opens the addresses of a process, and tries again while another socket has one of them.
 
-A process may start while its predecessor still ends, and the local port of any outgoing connection
-of the machine may be an address that the process is about to open.
+A process may start while its predecessor still serves its last requests, or before its machine has
+the address, and the local port of any outgoing connection of the machine may be an address that the
+process is about to open. A process that ended would meet the same address after its restart.
 """
 
 from collections.abc import Callable
@@ -12,7 +13,6 @@
 from savoryarch.entry._log import log_error, log_event
 
 LISTEN_RETRY_S = 0.5
-MAX_LISTEN_RETRIES = 10  # a predecessor ends sooner, as the platform kills it
 
 
 class ListenRetry:
@@ -22,16 +22,13 @@
     ----------
     reactor : IReactorTime provider
         Schedules the retries.
-    give_up : callable
-        Called without arguments if a required address cannot be opened.
     """
 
-    def __init__(self, reactor: Any, give_up: Callable[[], None]) -> None:
+    def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
-        self._give_up = give_up
 
-    def open(self, name: str, listen: Callable[[], None], *, required: bool) -> None:
-        """Open an address now, or later if it is in use.
+    def open(self, name: str, listen: Callable[[], None]) -> None:
+        """Open an address now, or later if that is not possible.
 
         Parameters
         ----------
@@ -39,22 +36,18 @@
             Name of the address in the log.
         listen : callable
             Opens the address, or raises `CannotListenError`.
-        required : bool
-            Whether the process is of no use without the address. If so, it gives up after
-            `MAX_LISTEN_RETRIES`.
         """
-        self._try(name, listen, required, 0)
+        self._try(name, listen, 0)
 
-    def _try(self, name: str, listen: Callable[[], None], required: bool, failures: int) -> None:
+    def _try(self, name: str, listen: Callable[[], None], failures: int) -> None:
         try:
             listen()
         except CannotListenError as error:
-            if not failures or failures == MAX_LISTEN_RETRIES:
-                log_error("cannot_listen", (("address", name), ("detail", str(error))))
-            if required and failures >= MAX_LISTEN_RETRIES:
-                self._give_up()
-                return
-            self._reactor.callLater(LISTEN_RETRY_S, self._try, name, listen, required, failures + 1)
+            failures += 1
+            if failures & (failures - 1) == 0:  # logged only when the number has doubled
+                fields = (("address", name), ("failures", str(failures)), ("detail", str(error)))
+                log_error("cannot_listen", fields)
+            self._reactor.callLater(LISTEN_RETRY_S, self._try, name, listen, failures)
             return
         if failures:
             log_event("listening_after_retries", (("address", name), ("failures", str(failures))))
--- a/savoryarch/entry/_peer_address.py
+++ b/savoryarch/entry/_peer_address.py
@@ -8,7 +8,7 @@
 from functools import partial
 from typing import Any
 
-from pynng.exceptions import AddressInUse
+from pynng.exceptions import NNGException
 from twisted.internet.error import CannotListenError
 
 from savoryarch import model
@@ -49,7 +49,7 @@
     Raises
     ------
     CannotListenError
-        If the address is in use.
+        If the address cannot be opened.
     """
     codec = make_message_codec(model, *COMPONENT_MESSAGES)
     peers = settings.peers
@@ -66,7 +66,7 @@
             _make_callbacks(metrics),
             _peer_tls(peers),
         )
-    except AddressInUse as error:
+    except NNGException as error:
         raise CannotListenError(peers.host, peers.port, error) from error
 
 
--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -16,6 +16,7 @@
 from savoryarch.entry._log import log_event, start_logging
 from savoryarch.entry._metrics import Metrics
 from savoryarch.entry._reload import SettingsFile
+from savoryarch.entry._reserved_address import ReservedAddress
 from savoryarch.entry._wiring import make_instance
 from savoryarch.front import ClientDialect, Front, MetricsPage, ReadinessPage
 from savoryarch.model import (
@@ -98,16 +99,17 @@
         self._interrupted = False
         self._lifecycle = make_machine(load_chart("process", ACTIONS), self._perform)
         self._ports: dict[str, Any] = {}
-        self._listen_retry = ListenRetry(reactor, self._give_up)
+        self._listen_retry = ListenRetry(reactor)
+        self._reserved: dict[str, ReservedAddress] = {}
         self._opening_front = False
         self._caller_site: Any = None
         self._instance = make_instance(settings, reactor, self._exit, self._open_peers)
         self._settings_file = SettingsFile(settings_path, settings, self._instance.feed, reactor)
         self._front = Front(self._instance, reactor, ClientDialect(decode_request, encode_answer))
+        self._reserve_addresses()
         if settings.forwarding.enabled:
             self._instance.on_ready = self._open_front
-            page = ReadinessPage(self._is_ready)
-            self._listen("ready", settings.front.ready_address, page, required=True)
+            self._listen("ready", ReadinessPage(self._is_ready))
         else:
             self._open_other_listeners()
 
@@ -124,22 +126,31 @@
             signal.signal(number, signal.SIG_IGN)
         return self._exit_code
 
-    def _listen(self, name: str, address: str, factory: Any, *, required: bool) -> None:
-        host, _, port = address.rpartition(":")
+    def _reserve_addresses(self) -> None:
+        """Reserve the addresses that are opened later; the others are opened at once."""
+        settings = self._settings
+        addresses = {"metrics": settings.metrics.address}
+        if settings.forwarding.enabled:
+            addresses |= {
+                "ready": settings.front.ready_address,
+                "front": settings.front.address,
+                "peers": f"{settings.peers.host}:{settings.peers.port}",
+            }
+        self._reserved = {
+            name: ReservedAddress(address) for name, address in addresses.items() if address
+        }
+
+    def _listen(self, name: str, factory: Any) -> None:
+        reserved = self._reserved[name]
 
         def listen() -> None:
-            self._ports[name] = reactor.listenTCP(
-                int(port), factory, backlog=LISTEN_BACKLOG, interface=host
-            )
+            port = self._ports[name] = reserved.listen(reactor, factory, LISTEN_BACKLOG)
             if name == "front":
-                log_event("front_open", (("address", address),))
+                host = port.getHost()
+                log_event("front_open", (("address", f"{host.host}:{host.port}"),))
                 reactor.callLater(OTHER_LISTENERS_DELAY_S, self._open_other_listeners)
 
-        self._listen_retry.open(f"{name}={address}", listen, required=required)
-
-    def _give_up(self) -> None:
-        # The supervisor may find the address free when it restarts the process.
-        reactor.stop()
+        self._listen_retry.open(f"{name}={reserved}", listen)
 
     def _is_ready(self) -> bool:
         """Return whether clients can be served: the instance is ready and its front is open."""
@@ -149,7 +160,7 @@
         """Accept clients' connections, because routes and targets to serve them are known."""
         if not self._opening_front:
             self._opening_front = True
-            self._listen("front", self._settings.front.address, self._front, required=True)
+            self._listen("front", self._front)
 
     def _open_other_listeners(self) -> None:
         """Open the addresses for callers, operators, metrics and peers."""
@@ -158,11 +169,10 @@
             self._open_listeners()
         self._instance.metrics.start()
         if settings.metrics.address:
-            page = MetricsPage(self._instance.render_metrics)
-            self._listen("metrics", settings.metrics.address, page, required=False)
+            self._listen("metrics", MetricsPage(self._instance.render_metrics))
         if isinstance(self._instance.peers, UnopenedPeers):
             unopened = self._instance.peers
-            self._listen_retry.open("peers", lambda: self._replace_peers(unopened), required=False)
+            self._listen_retry.open("peers", lambda: self._replace_peers(unopened))
 
     def _open_listeners(self) -> None:
         settings = self._settings
@@ -194,6 +204,7 @@
     def _replace_peers(self, unopened: UnopenedPeers) -> None:
         """Open the address for peers and register the instance, which they can reach now."""
         tier_settings = self._instance.state.settings
+        self._reserved["peers"].release()
         self._instance.peers = self._open_peers_now()
         for peer_id, (host, port) in unopened.addresses.items():
             self._instance.peers.set_peer_address(peer_id, host, port)
