Process: end without the interpreter's own last steps

Cause: the interpreter flushes its own output at its end, and replaces the exit code if it cannot; the line ready was written through it. Change: that line is written without blocking, and the process ends directly after the last log lines have been written as far as that does not block.

--- a/deploy/main.py
+++ b/deploy/main.py
@@ -26,7 +26,7 @@
 
 compiled = use_stored_code()
 
-from savoryarch.entry import run_entry  # noqa: E402
+from savoryarch.entry import leave_process, run_entry  # noqa: E402
 from savoryarch.exceptions import FindingsError  # noqa: E402
 from savoryarch.settings import await_settings  # noqa: E402
 
@@ -50,7 +50,7 @@
             except FindingsError as error:
                 print(error, file=sys.stderr)
                 return REFUSED_EXIT_CODE
-            return run_entry(settings, path)
+            return leave_process(run_entry(settings, path))
         case ["store-class-code"]:
             store_code(compiled)
             return 0
--- a/savoryarch/cli/_commands.py
+++ b/savoryarch/cli/_commands.py
@@ -90,7 +90,8 @@
         except FindingsError as error:
             self._console.write_error(str(error))
             return ExitCode.REFUSED
-        return import_module("savoryarch.entry").run_entry(loaded_settings, settings)
+        entry = import_module("savoryarch.entry")
+        return entry.leave_process(entry.run_entry(loaded_settings, settings))
 
     @keep_as_text
     def check(self, *files: str) -> int:
--- a/savoryarch/entry/_log.py
+++ b/savoryarch/entry/_log.py
@@ -1,5 +1,6 @@
 """Structured logs: one line of key=value pairs per event."""
 
+import os
 from collections.abc import Iterable
 from typing import Any
 
@@ -8,7 +9,8 @@
 
 from savoryarch.entry._log_writer import LogWriter
 
-DESCRIPTORS_BY_STREAM = {"stdout": 1, "stderr": 2}
+STDOUT, STDERR = 1, 2  # file descriptors
+DESCRIPTORS_BY_STREAM = {"stdout": STDOUT, "stderr": STDERR}
 
 _FORMAT = "time={record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name} {record.message}"
 _LOGGER = Logger("savoryarch")
@@ -77,6 +79,21 @@
     log_error("unhandled_error", fields)
 
 
+def write_output(line: str) -> None:
+    """Write a line to the standard output without blocking; it is lost if nobody reads."""
+    try:
+        os.set_blocking(STDOUT, False)
+        os.write(STDOUT, f"{line}\n".encode())
+    except OSError as error:
+        log_error("output_lost", (("error", str(error)),))
+
+
+def flush_log() -> None:
+    """Write the buffered lines as far as that is possible without blocking."""
+    for writer in _writers:
+        writer.write_buffered()
+
+
 def dropped_lines() -> int:
     """Return the number of log lines that were dropped since the start of the process."""
     return sum(writer.dropped for writer in _writers)
--- a/savoryarch/entry/_log_writer.py
+++ b/savoryarch/entry/_log_writer.py
@@ -71,20 +71,21 @@
         self._buffered.append(data)
         self._buffered_bytes += len(data)
         if self._retry_call is None:
-            self._write_buffered()
+            self.write_buffered()
         return len(text)
 
     def flush(self) -> None:
         """Do nothing: `write` has written all that can be written without blocking."""
 
-    def _write_buffered(self) -> None:
+    def write_buffered(self) -> None:
+        """Write the buffered lines; if that would block, the rest is written later."""
         self._retry_call = None
         while self._buffered:
             line = self._buffered[0]
             try:
                 written = os.write(self._descriptor, line)
             except BlockingIOError:
-                self._retry_call = self._reactor.callLater(RETRY_INTERVAL_S, self._write_buffered)
+                self._retry_call = self._reactor.callLater(RETRY_INTERVAL_S, self.write_buffered)
                 return
             except OSError:
                 # The reader has closed the stream, so the buffered lines can never be written.
--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -13,7 +13,7 @@
 from savoryarch.charts import load_chart, make_machine
 from savoryarch.entry._fallbacks import UnopenedPeers
 from savoryarch.entry._listen_retry import ListenRetry
-from savoryarch.entry._log import log_event, start_logging
+from savoryarch.entry._log import log_event, start_logging, write_output
 from savoryarch.entry._metrics import Metrics
 from savoryarch.entry._reload import SettingsFile
 from savoryarch.entry._reserved_address import ReservedAddress
@@ -277,10 +277,8 @@
         addresses = {name: f"{host.host}:{host.port}" for name, host in hosts.items()}
         addresses["peers"] = f"{tier_settings.peer_host}:{tier_settings.peer_port}"
         log_event("started", tuple(addresses.items()))
-        print(
-            "ready " + " ".join(f"{name}={address}" for name, address in addresses.items()),
-            flush=True,
-        )
+        words = (f"{name}={address}" for name, address in addresses.items())
+        write_output("ready " + " ".join(words))
 
 
 ACTIONS = frozenset({"start_instance", "close_connections", "stop_loop"})
--- a/tests/process/test_forwarded.py
+++ b/tests/process/test_forwarded.py
@@ -1,9 +1,12 @@
 """Forwarded requests through real processes without faults; `test_soak.py` injects faults."""
 
+import os
 import signal
 import socket
+import subprocess
+import sys
 import time
-from contextlib import closing
+from contextlib import closing, suppress
 from http.client import HTTPConnection
 from threading import Event, Timer
 
@@ -11,7 +14,7 @@
 
 from savoryarch_bench._forwarded_demo import demonstrate_forwarding
 from savoryarch_soak import _small_deployment
-from savoryarch_soak._instances import INSTANCE_HOST, find_free_addresses
+from savoryarch_soak._instances import INSTANCE_HOST, find_free_addresses, render_settings
 
 EXIT_TIMEOUT_S = 10.0
 TAKEN_S = 8.0  # longer than the 6 s in which a predecessor finishes its requests
@@ -112,3 +115,38 @@
             entry.send_signal(late)
             Event().wait(0.0005)
         assert entry.wait_for_exit(EXIT_TIMEOUT_S) == 0
+
+
+@pytest.mark.process
+@pytest.mark.parametrize("reader", ["gone", "stuck"])
+def test_output_that_nobody_reads_does_not_change_the_exit_code(tmp_path, reader):
+    """Guards against code 120 of a finished stop: the interpreter cannot write its last output."""
+    addresses = find_free_addresses(4)
+    path = tmp_path / "entry.ini"
+    path.write_text(render_settings(0, 1, addresses[:3], addresses[3]), encoding="utf-8")
+    reading, writing = os.pipe()
+    if reader == "gone":
+        os.close(reading)
+    else:
+        os.set_blocking(writing, False)
+        with suppress(BlockingIOError):
+            while True:
+                os.write(writing, b"x" * 4096)
+        os.set_blocking(writing, True)
+    command = [sys.executable, "-m", "savoryarch", "serve", "--settings", str(path)]
+    # Without buffers of its own, the interpreter would have nothing left to write at its end.
+    environment = {name: value for name, value in os.environ.items() if name != "PYTHONUNBUFFERED"}
+    process = subprocess.Popen(command, stdout=writing, stderr=subprocess.DEVNULL, env=environment)
+    try:
+        until_s = time.monotonic() + EXIT_TIMEOUT_S
+        while not is_open(addresses[1]):
+            assert process.poll() is None
+            assert time.monotonic() < until_s
+            Event().wait(0.1)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(EXIT_TIMEOUT_S) == 0
+    finally:
+        process.kill()
+        os.close(writing)
+        if reader == "stuck":
+            os.close(reading)
