Settings: a change between the start and the first check is applied

The file was read once for the settings and again for the comparison with later contents; a change in between, whose SIGHUP was ignored, took effect with the next one only. The first check compares the settings themselves. An exception in a check no longer ends the checks.

--- a/savoryarch/entry/_reload.py
+++ b/savoryarch/entry/_reload.py
@@ -37,13 +37,14 @@
         self._settings = settings
         self._feed = feed
         self._reactor = reactor
-        self._last_text = self._read_file()
+        # The file may have changed since the settings were loaded.
+        self._last_text = ""
 
     def watch(self) -> None:
         """Check the file for changes now and every `CHECK_INTERVAL_S`."""
         if self._path:
-            self.reload_if_changed()
             self._reactor.callLater(CHECK_INTERVAL_S, self.watch)
+            self.reload_if_changed()
 
     def reload_if_changed(self) -> None:
         """Apply the settings if the file has changed and is valid.
@@ -65,6 +66,8 @@
             for item in fields(settings)
             if getattr(settings, item.name) != getattr(self._settings, item.name)
         ]
+        if not changed:
+            return
         needs_restart = [name for name in changed if name not in RELOADED_SECTIONS]
         self._settings = settings
         self._feed(SettingsReloaded({name: getattr(settings, name) for name in RELOADED_SECTIONS}))
