Outgoing connections: share local addresses with listeners

What was seen: the local port of an outgoing connection cannot be listened on while the connection lasts, nor for 62 s after it was closed (kernel 6.18, with SO_REUSEADDR on the listening socket only).

--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -15,6 +15,7 @@
 from savoryarch.entry._listen_retry import ListenRetry
 from savoryarch.entry._log import log_event, start_logging, write_output
 from savoryarch.entry._metrics import Metrics
+from savoryarch.entry._outgoing import share_local_addresses
 from savoryarch.entry._reload import SettingsFile
 from savoryarch.entry._reserved_address import ReservedAddress
 from savoryarch.entry._wiring import make_instance
@@ -63,6 +64,7 @@
     and operators are left out if their addresses are not open.
     """
     set_reactor_clock(reactor, make_monotonic_clock())
+    share_local_addresses(reactor)
     log = settings.log
     start_logging(log.level.value, settings.instance.instance_id, log.stream.value, reactor)
     configure_garbage_collection()
--- /dev/null
+++ b/savoryarch/entry/tests/test_outgoing.py
@@ -0,0 +1,60 @@
+"""The local address of an outgoing connection stays free for processes that listen on it."""
+
+import socket
+import subprocess
+import sys
+from contextlib import closing
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[3]
+LOOPBACK_HOST = "127.0.0.1"
+# Connects, writes its local port, and closes the connection when a byte arrives.
+PROGRAM = """
+import sys
+from twisted.internet import reactor
+from twisted.internet.protocol import ClientFactory, Protocol
+from savoryarch.entry._outgoing import share_local_addresses
+
+class Connection(Protocol):
+    def connectionMade(self):
+        print(self.transport.getHost().port, flush=True)
+
+    def dataReceived(self, data):
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason):
+        print("closed", flush=True)
+
+share_local_addresses(reactor)
+reactor.connectTCP("127.0.0.1", int(sys.argv[1]), ClientFactory.forProtocol(Connection))
+reactor.callLater(20.0, reactor.stop)
+reactor.run()
+"""
+
+
+@pytest.mark.parametrize("closed_first", [False, True])
+def test_the_local_address_of_a_connection_can_be_listened_on(closed_first):
+    """Guards against an instance that cannot open its address for as long as a connection lasts.
+
+    The end that closes a connection first keeps its address for a minute after it.
+    """
+    with closing(socket.create_server((LOOPBACK_HOST, 0))) as server:
+        command = [sys.executable, "-c", PROGRAM, str(server.getsockname()[1])]
+        process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
+        try:
+            connection, _ = server.accept()
+            port = int(process.stdout.readline())
+            if closed_first:
+                connection.sendall(b"x")
+                assert connection.recv(1) == b""
+                connection.close()
+                assert process.stdout.readline().strip() == "closed"
+            with closing(socket.create_server((LOOPBACK_HOST, port))) as listener:
+                assert listener.getsockname()[1] == port
+            connection.close()
+        finally:
+            process.kill()
+            process.wait()
+            process.stdout.close()
