Build: leave the program in place for processes that start

What was seen: a process that starts while the build of the deploy file runs ends with code 1 or 2, since the build removed the program and its libraries first and took seconds to make them again. Processes that were killed, stopped or added meanwhile end again and again.

Cause: rm -rf of folders in use. A process resolves the link once, before it loads anything.

--- a/deploy/main.py
+++ b/deploy/main.py
@@ -13,8 +13,12 @@
 _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
 
 import gc  # noqa: E402
+import os  # noqa: E402
 import sys  # noqa: E402
 
+# A build may replace the links to the program and its dependencies while this process loads them.
+sys.path = [os.path.realpath(path) for path in sys.path]
+
 # Imported modules are never garbage; collections during the import take a tenth of the start time.
 gc.disable()
 
