Shutdown: the exit names the decision behind it

A process that ended with code 1 or 0 left no trace of whether the deadline or a second interrupt had ended its stop. The rows of test_shutdown.py expect the reason as well.

--- a/savoryarch/model/_instances.py
+++ b/savoryarch/model/_instances.py
@@ -7,6 +7,14 @@
 from savoryarch.model._declarations import Declarations
 
 
+class ExitReason(Enum):
+    """The decision behind the exit of an instance."""
+
+    STOP_FINISHED = "stop_finished"
+    DEADLINE_REACHED = "deadline_reached"
+    URGENT_STOP = "urgent_stop"
+
+
 class InstanceRole(Enum):
     """Role of a listed instance."""
 
@@ -164,10 +172,13 @@
         0 if no request was cut, that is, ended without an answer.
     cut_request_ids : tuple of str
         Ids of the requests that were cut.
+    reason : ExitReason
+        The decision behind the exit.
     """
 
     exit_code: int
     cut_request_ids: tuple[str, ...] = ()
+    reason: ExitReason = ExitReason.STOP_FINISHED
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/shutdown/_decide.py
+++ b/savoryarch/shutdown/_decide.py
@@ -8,6 +8,7 @@
     Count,
     Decided,
     Exit,
+    ExitReason,
     LeavingAnnounced,
     LogEvent,
     PublishEvent,
@@ -181,13 +182,15 @@
             return (PublishEvent(RequestIntakeStopped()), LogEvent("new_work_ended"))
         case "exit":
             return (ClearTimer(DEADLINE_TIMER), LogEvent("shutdown_finished"), Exit(0))
-        case "exit_unfinished":
-            return _exit_unfinished(state)
+        case "exit_at_deadline":
+            return _exit_unfinished(state, ExitReason.DEADLINE_REACHED)
+        case "exit_urgently":
+            return _exit_unfinished(state, ExitReason.URGENT_STOP)
         case _:
             return ()  # `_step` performs ``exit_if_finished``.
 
 
-def _exit_unfinished(state: ShutdownState) -> tuple[object, ...]:
+def _exit_unfinished(state: ShutdownState, reason: ExitReason) -> tuple[object, ...]:
     unfinished_ids = state.unfinished_ids
     fields = (
         ("cut", str(len(unfinished_ids))),
@@ -199,7 +202,7 @@
         Count("requests_cut", "shutdown", len(unfinished_ids)),
         LogEvent("shutdown_cut", fields),
         PublishEvent(ShutdownTimeExpired()),
-        Exit(UNFINISHED_EXIT_CODE if unfinished_ids else 0, unfinished_ids),
+        Exit(UNFINISHED_EXIT_CODE if unfinished_ids else 0, unfinished_ids, reason),
     )
 
 
@@ -208,7 +211,8 @@
         "announce_leaving",
         "exit",
         "exit_if_finished",
-        "exit_unfinished",
+        "exit_at_deadline",
+        "exit_urgently",
         "start_deadline_timer",
         "start_lag_timer",
         "stop_request_intake",
--- a/savoryarch/shutdown/tests/test_shutdown.py
+++ b/savoryarch/shutdown/tests/test_shutdown.py
@@ -8,6 +8,7 @@
 
 from savoryarch.model import (
     Exit,
+    ExitReason,
     LeavingAnnounced,
     PublishEvent,
     RequestIntakeStopped,
@@ -52,6 +53,8 @@
 )
 # Requests are answered before the exit.
 EXPIRED = PublishEvent(ShutdownTimeExpired())
+URGENT_EXIT = Exit(1, ("r1", "r2"), ExitReason.URGENT_STOP)
+DEADLINE_EXIT = Exit(1, ("r1", "r2"), ExitReason.DEADLINE_REACHED)
 
 
 @pytest.mark.parametrize(
@@ -64,11 +67,14 @@
         ([StopRequested(), LAG_ELAPSED], [*LEAVING, INTAKE_STOPPED, Exit(0)]),
         ([StopRequested(), BUSY, LAG_ELAPSED], [*LEAVING, INTAKE_STOPPED]),
         ([BUSY, StopRequested(), LAG_ELAPSED, IDLE], [*LEAVING, INTAKE_STOPPED, Exit(0)]),
-        ([StopRequested(), BUSY, URGENT_STOP], [*LEAVING, EXPIRED, Exit(1, ("r1", "r2"))]),
-        ([StopRequested(), URGENT_STOP], [*LEAVING, EXPIRED, Exit(0)]),
+        ([StopRequested(), BUSY, URGENT_STOP], [*LEAVING, EXPIRED, URGENT_EXIT]),
+        (
+            [StopRequested(), URGENT_STOP],
+            [*LEAVING, EXPIRED, Exit(0, (), ExitReason.URGENT_STOP)],
+        ),
         (
             [StopRequested(), BUSY, LAG_ELAPSED, URGENT_STOP],
-            [*LEAVING, INTAKE_STOPPED, EXPIRED, Exit(1, ("r1", "r2"))],
+            [*LEAVING, INTAKE_STOPPED, EXPIRED, URGENT_EXIT],
         ),
         ([StopRequested(), BUSY, StopRequested()], LEAVING),
         ([StopRequested(), StopRequested()], LEAVING),
@@ -78,7 +84,7 @@
         ),
         (
             [StopRequested(), BUSY, LAG_ELAPSED, DEADLINE_REACHED],
-            [*LEAVING, INTAKE_STOPPED, EXPIRED, Exit(1, ("r1", "r2"))],
+            [*LEAVING, INTAKE_STOPPED, EXPIRED, DEADLINE_EXIT],
         ),
         (
             [StopRequested(), LAG_ELAPSED, IDLE, StopRequested(), DEADLINE_REACHED],
