Log the start, its steps and the end of a process

No log told why a process had ended, how long the steps of its start took, or which limits it had, and a crash left nothing. process_started has pid, version, age and limits, start_step each step, process_ending as the last line the reason, signal, exit code, peak memory, descriptors, processor time and uptime; it is also written for refused settings, a wrong command line and an uncaught exception. faulthandler writes the stacks of a crash to the log's stream, which does not block. The gauge savoryarch_process has peak memory, open descriptors and uptime.

--- a/deploy/main.py
+++ b/deploy/main.py
@@ -20,10 +20,23 @@
 
 compiled = use_stored_code()
 
+from savoryarch.lifetime import (  # noqa: E402
+    SettingsRefused,
+    UsageError,
+    begin_start,
+    format_early_ending,
+    watch_crashes,
+)
+
+watch_crashes()
+steps = begin_start()
+
 from savoryarch.entry import run_entry  # noqa: E402
 from savoryarch.exceptions import FindingsError  # noqa: E402
 from savoryarch.settings import load_settings  # noqa: E402
 
+steps.end("imports")
+
 # The exit codes of the command line, whose module would load its library.
 REFUSED_EXIT_CODE, USAGE_EXIT_CODE = 1, 2
 
@@ -36,13 +49,16 @@
                 settings = load_settings(path)
             except FindingsError as error:
                 print(error, file=sys.stderr)
+                print(format_early_ending(SettingsRefused(str(error))), file=sys.stderr)
                 return REFUSED_EXIT_CODE
-            return run_entry(settings, path)
+            steps.end("settings")
+            return run_entry(settings, path, steps)
         case ["store-class-code"]:
             store_code(compiled)
             return 0
         case _:
             print(__doc__, file=sys.stderr)
+            print(format_early_ending(UsageError()), file=sys.stderr)
             return USAGE_EXIT_CODE
 
 
--- a/savoryarch/cli/_commands.py
+++ b/savoryarch/cli/_commands.py
@@ -25,6 +25,7 @@
     watch_steps,
 )
 from savoryarch.exceptions import FindingsError
+from savoryarch.lifetime import SettingsRefused, begin_start, format_early_ending
 from savoryarch.model import ResourceKind, RestoreChoice
 from savoryarch.settings import load_settings
 from savoryarch.utils import format_findings, format_suggestion
@@ -85,12 +86,17 @@
         settings
             Path of the settings file, INI.
         """
+        steps = begin_start()
         try:
             loaded_settings = load_settings(settings)
         except FindingsError as error:
             self._console.write_error(str(error))
+            self._console.write_error(format_early_ending(SettingsRefused(str(error))))
             return ExitCode.REFUSED
-        return import_module("savoryarch.entry").run_entry(loaded_settings, settings)
+        steps.end("settings")
+        run_entry = import_module("savoryarch.entry").run_entry
+        steps.end("imports")
+        return run_entry(loaded_settings, settings, steps)
 
     @keep_as_text
     def check(self, *files: str) -> int:
--- a/savoryarch/entry/_instance.py
+++ b/savoryarch/entry/_instance.py
@@ -49,6 +49,7 @@
     StatusRequested,
     StoreCall,
     StoreReplied,
+    StoreReply,
     StoreUnreachable,
 )
 from savoryarch.model.forwarding import (
@@ -80,7 +81,7 @@
     metrics : Metrics
         The metrics of the process.
     exit_process : callable
-        Called with the exit code when the shutdown has finished.
+        Called with the effect `Exit` when the shutdown has finished.
     dialect : Dialect, optional
         The protocol that targets speak; default is `JsonDialect`.
     reply_memory : ReplyMemory, optional
@@ -94,8 +95,11 @@
         Performs store calls; set by the maker of the instance.
     instance_list : InstanceListClient, AbsentInstanceList or DiscoveredInstanceList
         Reads the list of instances; set by the maker of the instance.
-    on_ready : callable
-        Called without arguments each time the decisions set the instance ready.
+    on_ready, on_store_reply : callable
+        Called without arguments each time the decisions set the instance ready, and before each
+        reply of the store is fed.
+    update_process_gauges : callable
+        Called with the metrics to set the gauges of the process.
     """
 
     def __init__(
@@ -104,7 +108,7 @@
         reactor: Any,
         clock: Clock,
         metrics: Metrics,
-        exit_process: Callable[[int], None],
+        exit_process: Callable[[Exit], None],
         dialect: Dialect | None = None,
         reply_memory: ReplyMemory | None = None,
     ) -> None:
@@ -122,6 +126,8 @@
         self._declarations = Declarations()
         self._ready = False
         self.on_ready: Callable[[], None] = lambda: None
+        self.on_store_reply: Callable[[], None] = lambda: None
+        self.update_process_gauges: Callable[[Metrics], None] = lambda metrics: None
         self._last_request_number = 0
         self._pending_outcomes: dict[str, Deferred] = {}
         self._events: deque[object] = deque()
@@ -195,6 +201,7 @@
         )
         for name, reason, value in values:
             self.metrics.set_gauge(name, reason, value)
+        self.update_process_gauges(self.metrics)
 
     def wait_for_newer_generation(self, generation: int, wait_ms: float) -> Deferred:
         """Wait for declarations that are newer than a generation.
@@ -310,8 +317,8 @@
                     self.on_ready()
             case DeclarationsInForce(declarations=declarations):
                 self._apply_declarations(declarations)
-            case Exit(exit_code=exit_code):
-                self._exit_process(exit_code)
+            case Exit():
+                self._exit_process(effect)
             case _:
                 raise TypeError(f"got effect {type(effect).__name__}, which nothing performs")
 
@@ -330,7 +337,12 @@
 
     def _call_store(self, call: StoreCall) -> None:
         performed = self.store.perform(call)
-        performed.addCallback(lambda reply: self.feed(StoreReplied(call.call_id, reply)))
+        performed.addCallback(self._handle_store_reply, call.call_id)
+
+    def _handle_store_reply(self, reply: StoreReply, call_id: str) -> None:
+        if not isinstance(reply, StoreUnreachable):
+            self.on_store_reply()
+        self.feed(StoreReplied(call_id, reply))
 
     def _broadcast(self, broadcast: BroadcastToPeers) -> None:
         for peer_id in self.live_peer_ids():
--- a/savoryarch/entry/_log.py
+++ b/savoryarch/entry/_log.py
@@ -7,6 +7,7 @@
 from twisted.logger import LogEvent, globalLogPublisher
 
 from savoryarch.entry._log_writer import LogWriter
+from savoryarch.lifetime import format_event, make_unexpected_error
 
 DESCRIPTORS_BY_STREAM = {"stdout": 1, "stderr": 2}
 
@@ -68,12 +69,9 @@
     failure = event.get("log_failure")
     if failure is None:
         return
-    frames = failure.getTracebackObject()
-    while frames is not None and frames.tb_next is not None:
-        frames = frames.tb_next
-    place = f"{frames.tb_frame.f_code.co_filename}:{frames.tb_lineno}" if frames else "unknown"
-    kind = type(failure.value).__name__
-    fields = (("kind", kind), ("detail", failure.getErrorMessage()), ("place", place))
+    error = make_unexpected_error(failure.value, failure.getTracebackObject())
+    detail = failure.getErrorMessage()
+    fields = (("kind", error.kind), ("detail", detail), ("place", error.place))
     log_error("unhandled_error", fields)
 
 
@@ -82,14 +80,6 @@
     return sum(writer.dropped for writer in _writers)
 
 
-def format_event(name: str, fields: Iterable[tuple[str, str]]) -> str:
-    """Return an event as ``event=NAME key=value ...``.
-
-    Values that are empty or contain white space, quotes or equals signs are quoted.
-    """
-    return " ".join([f"event={name}", *(f"{key}={_quote(value)}" for key, value in fields)])
-
-
 # One item, the number of dropped lines that was logged last. It is a list so that functions can
 # change the number without a global statement.
 _reported_dropped = [0]
@@ -101,11 +91,3 @@
         # Logged only when the number has doubled, so that the reports do not add to the load.
         _reported_dropped[0] = dropped
         _LOGGER.warning(format_event("log_lines_dropped", (("total", str(dropped)),)))
-
-
-def _quote(value: str) -> str:
-    text = str(value)
-    if text and not any(character in text for character in ' "=\n\r\t'):
-        return text
-    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t") + '"'
--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -3,6 +3,7 @@
 import gc
 import signal
 from collections.abc import Callable
+from functools import partial
 from importlib import import_module
 from typing import Any
 
@@ -15,10 +16,13 @@
 from savoryarch.entry._listen_retry import ListenRetry
 from savoryarch.entry._log import log_event, start_logging
 from savoryarch.entry._metrics import Metrics
+from savoryarch.entry._process_report import ProcessReport
 from savoryarch.entry._reload import SettingsFile
 from savoryarch.entry._wiring import make_instance
 from savoryarch.front import ClientDialect, Front, MetricsPage, ReadinessPage
+from savoryarch.lifetime import StartSteps
 from savoryarch.model import (
+    Exit,
     Started,
     StopRequested,
 )
@@ -30,7 +34,6 @@
 from savoryarch.shutdown import drain_time_ms
 from savoryarch.utils import make_monotonic_clock, set_reactor_clock
 
-NO_DECISION_EXIT_CODE = 1  # if the reactor stops before the shutdown decides on an exit code
 OTHER_LISTENERS_DELAY_S = 1.0  # clients that reconnect after a restart are served first
 GC_THRESHOLDS = (20_000, 10, 50)  # allocations, then collections of younger generations
 _MS_PER_S = 1000.0
@@ -39,7 +42,7 @@
 reactor: Any = default_reactor
 
 
-def run_entry(settings: Settings, settings_path: str = "") -> int:
+def run_entry(settings: Settings, settings_path: str = "", steps: StartSteps | None = None) -> int:
     """Run an entry instance until its shutdown has finished.
 
     Parameters
@@ -49,6 +52,8 @@
     settings_path : str, optional
         Path of the settings file, which is reloaded when it changes. Without it, the settings
         stay as they are.
+    steps : StartSteps or None, optional
+        The steps of the start that ended before this call.
 
     Returns
     -------
@@ -64,8 +69,11 @@
     set_reactor_clock(reactor, make_monotonic_clock())
     log = settings.log
     start_logging(log.level.value, settings.instance.instance_id, log.stream.value, reactor)
+    report = ProcessReport(settings, settings_path, steps)
+    report.log_started()
     configure_garbage_collection()
-    return EntryProcess(settings, settings_path).run()
+    EntryProcess(settings, settings_path, report).run()
+    return report.log_ending()
 
 
 def configure_garbage_collection() -> None:
@@ -88,11 +96,13 @@
         The validated settings.
     settings_path : str
         Path of the settings file; empty if it is not to be reloaded.
+    report : ProcessReport
+        Logs the steps of the start and the end.
     """
 
-    def __init__(self, settings: Settings, settings_path: str) -> None:
+    def __init__(self, settings: Settings, settings_path: str, report: ProcessReport) -> None:
         self._settings = settings
-        self._exit_code = NO_DECISION_EXIT_CODE
+        self._report = report
         self._clock = make_monotonic_clock()
         self._stopped_at_ms = float("inf")
         self._interrupted = False
@@ -102,6 +112,8 @@
         self._opening_front = False
         self._caller_site: Any = None
         self._instance = make_instance(settings, reactor, self._exit, self._open_peers)
+        self._instance.on_store_reply = partial(report.end_step, "store_replied")
+        self._instance.update_process_gauges = report.update_gauges
         self._settings_file = SettingsFile(settings_path, settings, self._instance.feed, reactor)
         self._front = Front(self._instance, reactor, ClientDialect(decode_request, encode_answer))
         if settings.forwarding.enabled:
@@ -111,8 +123,8 @@
         else:
             self._open_other_listeners()
 
-    def run(self) -> int:
-        """Run until the shutdown has finished; returns the exit code."""
+    def run(self) -> None:
+        """Run until the shutdown has finished."""
         signal.signal(signal.SIGTERM, self._handle_sigterm)
         signal.signal(signal.SIGINT, self._handle_sigint)
         signal.signal(signal.SIGHUP, self._handle_sighup)
@@ -122,7 +134,6 @@
         # signal would end the process with a failure. Ignored signals stay ignored.
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, signal.SIG_IGN)
-        return self._exit_code
 
     def _listen(self, name: str, address: str, factory: Any, *, required: bool) -> None:
         host, _, port = address.rpartition(":")
@@ -131,6 +142,7 @@
             self._ports[name] = reactor.listenTCP(
                 int(port), factory, backlog=LISTEN_BACKLOG, interface=host
             )
+            self._report.end_step(f"{name}_open")
             if name == "front":
                 log_event("front_open", (("address", address),))
                 reactor.callLater(OTHER_LISTENERS_DELAY_S, self._open_other_listeners)
@@ -149,6 +161,7 @@
         """Accept clients' connections, because routes and targets to serve them are known."""
         if not self._opening_front:
             self._opening_front = True
+            self._report.end_step("targets_known")
             self._listen("front", self._settings.front.address, self._front, required=True)
 
     def _open_other_listeners(self) -> None:
@@ -195,6 +208,7 @@
         """Open the address for peers and register the instance, which they can reach now."""
         tier_settings = self._instance.state.settings
         self._instance.peers = self._open_peers_now()
+        self._report.end_step("peers_open")
         for peer_id, (host, port) in unopened.addresses.items():
             self._instance.peers.set_peer_address(peer_id, host, port)
         self._instance.feed(
@@ -206,14 +220,16 @@
             )
         )
 
-    def _handle_sigterm(self, *_: object) -> None:
+    def _handle_sigterm(self, number: int, _: object) -> None:
         # A signal handler interrupts code of the loop at any point, so it only schedules the stop.
+        self._report.record_signal(number)
         reactor.callFromThread(self._stop)
 
     def _handle_sighup(self, *_: object) -> None:
         reactor.callFromThread(self._settings_file.reload_if_changed)
 
-    def _handle_sigint(self, *_: object) -> None:
+    def _handle_sigint(self, number: int, _: object) -> None:
+        self._report.record_signal(number)
         # A second interrupt from the keyboard is deliberate and makes the stop urgent, whereas
         # supervisors may repeat SIGTERM.
         urgent, self._interrupted = self._interrupted, True
@@ -225,8 +241,8 @@
         self._front.disable_keep_alive()
         self._instance.feed(StopRequested(urgent))
 
-    def _exit(self, exit_code: int) -> None:
-        self._exit_code = exit_code
+    def _exit(self, decided: Exit) -> None:
+        self._report.record_exit(decided)
         # The last replies are still being written when the exit is decided, so the connections
         # are closed in the next iteration of the loop.
         reactor.callLater(0, self._lifecycle.exit_decided)
--- a/savoryarch/entry/_wiring.py
+++ b/savoryarch/entry/_wiring.py
@@ -12,6 +12,7 @@
 from savoryarch.entry._instance_list import InstanceListClient
 from savoryarch.entry._metrics import Metrics
 from savoryarch.entry._reply_memory import make_reply_memory
+from savoryarch.model import Exit
 from savoryarch.platform import (
     PlatformDialect,
     decode_store_reply,
@@ -28,7 +29,7 @@
 
 
 def make_instance(
-    settings: Settings, reactor: Any, exit_process: Callable[[int], None], open_peers: OpenPeers
+    settings: Settings, reactor: Any, exit_process: Callable[[Exit], None], open_peers: OpenPeers
 ) -> EntryInstance:
     """Make an entry instance with its clients of the store, the instance list and the peers.
 
@@ -39,7 +40,7 @@
     reactor : object
         Twisted's reactor.
     exit_process : callable
-        Called with the exit code when the shutdown has finished.
+        Called with the effect `Exit` when the shutdown has finished.
     open_peers : callable
         Called with the incarnation of this instance, the handler of peers' messages and the
         metrics; returns a `PeerTransport` or its replacement.
--- a/savoryarch/utils/__init__.py
+++ b/savoryarch/utils/__init__.py
@@ -1,7 +1,13 @@
 """General helpers that do not depend on any other subpackage."""
 
 from savoryarch.utils._budget import Budget, add_tokens, spend_tokens
-from savoryarch.utils._clock import Clock, make_monotonic_clock, make_wall_clock, set_reactor_clock
+from savoryarch.utils._clock import (
+    Clock,
+    make_boot_clock,
+    make_monotonic_clock,
+    make_wall_clock,
+    set_reactor_clock,
+)
 from savoryarch.utils._findings import Finding, Place, format_findings
 from savoryarch.utils._heap import Heap, heap_pop, heap_push
 from savoryarch.utils._ini import IniDocument, IniEntry, IniSection, parse_ini
@@ -53,6 +59,7 @@
     "format_suggestion",
     "heap_pop",
     "heap_push",
+    "make_boot_clock",
     "make_monotonic_clock",
     "make_wall_clock",
     "parse_ini",
--- a/savoryarch/utils/_clock.py
+++ b/savoryarch/utils/_clock.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 MS_PER_S = 1000.0
@@ -47,6 +48,11 @@
     reactor.seconds = clock.read_s
 
 
+def make_boot_clock() -> Clock:
+    """Make the clock of the kernel, which counts from its start, also while it is suspended."""
+    return Clock(read_s=partial(time.clock_gettime, time.CLOCK_BOOTTIME))
+
+
 def make_wall_clock() -> Clock:
     """Make the clock of calendar time, which counts from the Unix epoch."""
     return Clock(read_s=time.time)
