Charts: read the chart files without importlib.resources

The library takes some milliseconds of each start. The chart files lie beside the module that reads them, also in the one-file program, which unpacks itself.

--- a/savoryarch/charts/_load.py
+++ b/savoryarch/charts/_load.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 from functools import cache
-from importlib.resources import files
+from pathlib import Path
 from types import MappingProxyType
 
 from savoryarch.charts._chart import Chart, Transition
@@ -11,11 +11,11 @@
 
 _STATE_PREFIX = "state "
 _CHART_KEYS = ("name", "summary", "initial", "events")
+_FOLDER = Path(__file__).parent  # `importlib.resources` would take a longer time to load
 
 
 def _list_chart_names() -> tuple[str, ...]:
-    folder = files("savoryarch.charts")
-    return tuple(sorted(item.name[:-4] for item in folder.iterdir() if item.name.endswith(".ini")))
+    return tuple(sorted(path.stem for path in _FOLDER.glob("*.ini")))
 
 
 CHART_NAMES = _list_chart_names()
@@ -43,7 +43,7 @@
         If the file has errors; it lists all of them.
     """
     source = f"{name}.ini"
-    text = files("savoryarch.charts").joinpath(source).read_text(encoding="utf-8")
+    text = (_FOLDER / source).read_text(encoding="utf-8")
     return parse_chart(text, source, actions)
 
 
