--- a/savoryarch/cli/_commands.py
+++ b/savoryarch/cli/_commands.py
@@ -94,9 +94,9 @@
             self._console.write_error(format_early_ending(SettingsRefused(str(error))))
             return ExitCode.REFUSED
         steps.end("settings")
-        run_entry = import_module("savoryarch.entry").run_entry
+        entry = import_module("savoryarch.entry")
         steps.end("imports")
-        return run_entry(loaded_settings, settings, steps)
+        return entry.leave_process(entry.run_entry(loaded_settings, settings, steps))
 
     @keep_as_text
     def check(self, *files: str) -> int:
--- a/savoryarch/entry/_process_report.py
+++ b/savoryarch/entry/_process_report.py
@@ -7,6 +7,7 @@
 from types import TracebackType
 
 from savoryarch import __version__
+from savoryarch.entry._leave import leave_process
 from savoryarch.entry._log import DESCRIPTORS_BY_STREAM, log_error, log_event
 from savoryarch.entry._metrics import Metrics
 from savoryarch.lifetime import (
@@ -139,9 +140,9 @@
     def _log_exception(
         self, kind: type[BaseException], error: BaseException, frames: TracebackType | None
     ) -> None:
-        sys.__excepthook__(kind, error, frames)
+        # The interpreter's own report could block on an output that nobody reads.
         self.ending = make_unexpected_error(error, frames)
-        self.log_ending()
+        leave_process(self.log_ending())
 
 
 def _format(value_ms: float | None) -> str:
--- a/savoryarch/lifetime/_endings.py
+++ b/savoryarch/lifetime/_endings.py
@@ -1,5 +1,6 @@
 """The ways in which a process ends, each with its reason and its exit code."""
 
+from collections import deque
 from dataclasses import dataclass
 from types import TracebackType
 
@@ -8,6 +9,7 @@
 FAILED_EXIT_CODE = 1
 USAGE_EXIT_CODE = 2
 MAX_DETAIL_CHARACTERS = 500
+MAX_STACK_CALLS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,11 +66,14 @@
         Its message.
     place : str
         File and line that raised it.
+    stack : str
+        Files and lines of the innermost calls that led there, beginning with `place`.
     """
 
     kind: str
     detail: str
     place: str
+    stack: str
 
 
 Ending = ShutdownEnded | LoopStopped | SettingsRefused | UsageError | UnexpectedError
@@ -104,8 +109,8 @@
             return EndingSummary("settings_refused", FAILED_EXIT_CODE, (("findings", findings),))
         case UsageError():
             return EndingSummary("usage_error", USAGE_EXIT_CODE)
-        case UnexpectedError(kind, detail, place):
-            fields = (("kind", kind), ("detail", detail), ("place", place))
+        case UnexpectedError(kind, detail, place, stack):
+            fields = (("kind", kind), ("detail", detail), ("place", place), ("stack", stack))
             return EndingSummary("unexpected_error", FAILED_EXIT_CODE, fields)
 
 
@@ -122,7 +127,9 @@
         Its traceback, if it is not that of the exception itself.
     """
     frames = frames or error.__traceback__
-    while frames is not None and frames.tb_next is not None:
+    places = deque(["unknown"], maxlen=MAX_STACK_CALLS)
+    while frames is not None:
+        places.appendleft(f"{frames.tb_frame.f_code.co_filename}:{frames.tb_lineno}")
         frames = frames.tb_next
-    place = f"{frames.tb_frame.f_code.co_filename}:{frames.tb_lineno}" if frames else "unknown"
-    return UnexpectedError(type(error).__name__, str(error)[:MAX_DETAIL_CHARACTERS], place)
+    detail = str(error)[:MAX_DETAIL_CHARACTERS]
+    return UnexpectedError(type(error).__name__, detail, places[0], " ".join(places))
--- a/savoryarch/utils/__init__.py
+++ b/savoryarch/utils/__init__.py
@@ -7,6 +7,7 @@
     make_monotonic_clock,
     make_wall_clock,
     set_reactor_clock,
+    sleep,
 )
 from savoryarch.utils._findings import Finding, Place, format_findings
 from savoryarch.utils._heap import Heap, heap_pop, heap_push
@@ -68,6 +69,7 @@
     "replace",
     "set_reactor_clock",
     "setting",
+    "sleep",
     "sorted_items",
     "spend_tokens",
     "start_lingering_close",
--- a/savoryarch/utils/_clock.py
+++ b/savoryarch/utils/_clock.py
@@ -53,6 +53,11 @@
     return Clock(read_s=partial(time.clock_gettime, time.CLOCK_BOOTTIME))
 
 
+def sleep(duration_ms: float) -> None:
+    """Suspend the process for a time in ms, before its event loop runs."""
+    time.sleep(duration_ms / MS_PER_S)
+
+
 def make_wall_clock() -> Clock:
     """Make the clock of calendar time, which counts from the Unix epoch."""
     return Clock(read_s=time.time)
