--- a/deploy/main.py
+++ b/deploy/main.py
@@ -31,10 +31,10 @@
     UsageError,
     begin_start,
     format_early_ending,
-    watch_crashes,
+    report_uncaught_exceptions,
 )
 
-watch_crashes()
+report_uncaught_exceptions()
 steps = begin_start()
 
 from savoryarch.entry import leave_process, run_entry  # noqa: E402
--- a/savoryarch/__main__.py
+++ b/savoryarch/__main__.py
@@ -12,6 +12,10 @@
 if sys.argv[1:2] == ["serve"]:
     prepare_process()
 
+    from savoryarch.lifetime import report_uncaught_exceptions
+
+    report_uncaught_exceptions()
+
 from savoryarch.cli import main  # noqa: E402
 
 if __name__ == "__main__":
--- a/savoryarch/lifetime/__init__.py
+++ b/savoryarch/lifetime/__init__.py
@@ -3,7 +3,7 @@
 from savoryarch.lifetime._early_ending import (
     format_early_ending,
     make_ending_fields,
-    watch_crashes,
+    report_uncaught_exceptions,
 )
 from savoryarch.lifetime._endings import (
     Ending,
@@ -46,6 +46,6 @@
     "read_age_ms",
     "read_limits",
     "read_usage",
+    "report_uncaught_exceptions",
     "summarize_ending",
-    "watch_crashes",
 ]
--- a/savoryarch/lifetime/_early_ending.py
+++ b/savoryarch/lifetime/_early_ending.py
@@ -1,6 +1,5 @@
 """Log lines about the end of a process that has not started its log."""
 
-import faulthandler
 import sys
 from datetime import datetime
 from types import TracebackType
@@ -9,7 +8,6 @@
 from savoryarch.lifetime._event_line import format_event
 from savoryarch.lifetime._usage import ProcessUsage, read_usage
 
-STANDARD_ERROR = 2  # file descriptor
 _UNKNOWN = "unknown"
 
 
@@ -19,9 +17,8 @@
     return f"time={datetime.now():%Y-%m-%dT%H:%M:%S.%f} level=ERROR {text}"
 
 
-def watch_crashes() -> None:
-    """Write a report of each crash and each uncaught exception to standard error from now on."""
-    faulthandler.enable(file=STANDARD_ERROR, all_threads=True)
+def report_uncaught_exceptions() -> None:
+    """Let the interpreter write the line after its report of an exception that ends the process."""
     sys.excepthook = _report_exception
 
 
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -50,6 +50,8 @@
         timeout=30.0,
     )
     assert (process.returncode, process.stdout.strip()) == (exit_code, output), process.stderr
+    ending = f"event=process_ending reason=stopped_at_start signal={signal_name} exit_code=0"
+    assert (ending in process.stderr) == (exit_code == 0), process.stderr
 
 
 def test_closed_standard_descriptors_are_opened_before_any_connection():
