Process report: no age by a simulated clock

An age over ten minutes is unknown; the times of the report then count from the first measured step.

--- a/savoryarch/entry/_process_report.py
+++ b/savoryarch/entry/_process_report.py
@@ -15,18 +15,15 @@
     LoopStopped,
     ShutdownEnded,
     StartSteps,
+    begin_start,
     make_ending_fields,
     make_unexpected_error,
-    read_age_ms,
     read_limits,
     read_usage,
     summarize_ending,
 )
 from savoryarch.model import Exit
 from savoryarch.settings import Settings
-from savoryarch.utils import Clock, make_boot_clock, make_monotonic_clock
-
-_UNKNOWN = "unknown"
 
 
 class ProcessReport:
@@ -40,8 +37,6 @@
         Path of the settings file; empty if there is none.
     steps : StartSteps or None, optional
         The steps that ended before the log was started.
-    clock : Clock or None, optional
-        Monotonic clock of the process.
 
     Attributes
     ----------
@@ -54,16 +49,12 @@
         settings: Settings,
         settings_path: str,
         steps: StartSteps | None = None,
-        clock: Clock | None = None,
     ) -> None:
         self.ending: Ending = LoopStopped()
         self._settings = settings
         self._settings_path = settings_path
-        self._clock = clock or make_monotonic_clock()
-        self._steps = steps or StartSteps(self._clock)
+        self._steps = steps or begin_start()
         self._signal_name = "none"
-        self._age_ms = read_age_ms(make_boot_clock())
-        self._read_at_ms = self._clock.now_ms()
 
     def log_started(self) -> None:
         """Log the start, and let crashes and uncaught exceptions be logged from now on."""
@@ -77,7 +68,7 @@
             (
                 ("pid", str(os.getpid())),
                 ("version", __version__),
-                ("age_ms", _format(self._age_ms)),
+                ("age_ms", f"{self._steps.elapsed_ms():.0f}"),
                 ("descriptor_limit", _format_limit(limits.descriptor_count)),
                 ("address_space_limit_bytes", _format_limit(limits.address_space_bytes)),
                 ("memory_limit_mb", f"{self._settings.instance.memory_mb:g}"),
@@ -107,23 +98,19 @@
         """Log the end of the process, and return its exit code."""
         exit_code = summarize_ending(self.ending).exit_code
         log = log_error if exit_code else log_event
-        fields = make_ending_fields(self.ending, read_usage(), self._signal_name, self.uptime_ms())
+        fields = make_ending_fields(
+            self.ending, read_usage(), self._signal_name, self._steps.elapsed_ms()
+        )
         log("process_ending", fields)
         return exit_code
 
-    def uptime_ms(self) -> float | None:
-        """Return the time since the process was executed, or None if it is not known."""
-        if self._age_ms is None:
-            return None
-        return self._age_ms + self._clock.now_ms() - self._read_at_ms
-
     def update_gauges(self, metrics: Metrics) -> None:
         """Set the gauges of the process; one whose value the system does not tell is left out."""
         usage = read_usage()
         values = (
             ("process", "peak_memory_bytes", usage.peak_memory_bytes),
             ("process", "open_descriptors", usage.descriptor_count),
-            ("process", "uptime_ms", self.uptime_ms()),
+            ("process", "uptime_ms", self._steps.elapsed_ms()),
         )
         for name, reason, value in values:
             if value is not None:
@@ -133,7 +120,7 @@
         fields = (
             ("step", step),
             ("took_ms", f"{took_ms:.0f}"),
-            ("age_ms", _format(self.uptime_ms())),
+            ("age_ms", f"{self._steps.elapsed_ms():.0f}"),
         )
         log_event("start_step", fields)
 
@@ -145,9 +132,5 @@
         leave_process(self.log_ending())
 
 
-def _format(value_ms: float | None) -> str:
-    return _UNKNOWN if value_ms is None else f"{value_ms:.0f}"
-
-
 def _format_limit(limit: int | None) -> str:
     return "none" if limit is None else str(limit)
--- a/savoryarch/lifetime/_start_steps.py
+++ b/savoryarch/lifetime/_start_steps.py
@@ -36,17 +36,16 @@
     ----------
     ended : tuple of StepEnd
         The steps that have ended, in this order.
-    began_at_ms : float
-        When the measurement began, on the clock.
     """
 
     def __init__(self, clock: Clock, first_step_ms: float | None = None) -> None:
         self.ended: tuple[StepEnd, ...] = ()
-        self.began_at_ms = clock.now_ms()
         self._clock = clock
-        self._last_end_ms = self.began_at_ms
+        self._last_end_ms = clock.now_ms()
+        self._began_at_ms = self._last_end_ms
         if first_step_ms is not None:
             self.ended = (StepEnd("interpreter", first_step_ms),)
+            self._began_at_ms -= first_step_ms
 
     def end(self, step: str) -> StepEnd | None:
         """End a step; returns None if it ended before."""
@@ -58,6 +57,10 @@
         self.ended += (ended,)
         return ended
 
+    def elapsed_ms(self) -> float:
+        """Return the time since the first known step began."""
+        return self._clock.now_ms() - self._began_at_ms
+
 
 def begin_start() -> StartSteps:
     """Begin to measure a start; its first step is the time since the process was executed."""
--- a/savoryarch/lifetime/_usage.py
+++ b/savoryarch/lifetime/_usage.py
@@ -7,6 +7,7 @@
 
 from savoryarch.utils import Clock
 
+MAX_START_MS = 600_000.0  # a program that takes longer to load has been ended by its platform
 _MS_PER_S = 1000.0
 _BYTES_PER_KIB = 1024
 _STAT_PATH = Path("/proc/self/stat")
@@ -65,13 +66,15 @@
 
 
 def read_age_ms(boot_clock: Clock) -> float | None:
-    """Return the time since this process was executed, or None if the system does not tell.
+    """Return the time since the start of this process, or None if the system does not tell.
+
+    It is to be called while the process starts.
 
     Parameters
     ----------
     boot_clock : Clock
-        The clock of the kernel's start times. On a machine with a simulated clock they may lie in
-        its future, so that the age is not known.
+        The clock of the kernel's start times. If a machine simulates one of the two, the age is
+        negative or too large for a process that starts, and is not known.
     """
     try:
         fields = _STAT_PATH.read_text(encoding="utf-8", errors="replace").rpartition(")")[2].split()
@@ -79,7 +82,7 @@
     except (OSError, ValueError, IndexError):
         return None
     age_ms = boot_clock.now_ms() - started_ms
-    return age_ms if age_ms >= 0.0 else None
+    return age_ms if 0.0 <= age_ms <= MAX_START_MS else None
 
 
 def _soft_limit(kind: int) -> int | None:
--- a/savoryarch/lifetime/tests/test_lifetime.py
+++ b/savoryarch/lifetime/tests/test_lifetime.py
@@ -1,7 +1,9 @@
 """Each way in which a process ends has a line that names its reason and its exit code."""
 
 import os
+import subprocess
 import sys
+import time
 
 import pytest
 from twisted.internet.task import Clock as VirtualTime
@@ -24,7 +26,7 @@
 )
 from savoryarch.lifetime import _usage as usage_module
 from savoryarch.model import ExitReason
-from savoryarch.utils import Clock, make_boot_clock
+from savoryarch.utils import Clock
 
 USAGE = ProcessUsage(56_000_000, 617.4, 12)
 
@@ -111,12 +113,12 @@
     ("first_step_ms", "first_steps"), [(None, ()), (60.0, (StepEnd("interpreter", 60.0),))]
 )
 def test_each_step_of_a_start_ends_once_and_lasts_since_the_one_before(first_step_ms, first_steps):
-    time = VirtualTime()
-    steps = StartSteps(Clock(read_s=time.seconds), first_step_ms)
+    virtual_time = VirtualTime()
+    steps = StartSteps(Clock(read_s=virtual_time.seconds), first_step_ms)
     for step, after_s in (("imports", 0.35), ("store_replied", 0.02), ("store_replied", 5.0)):
-        time.advance(after_s)
+        virtual_time.advance(after_s)
         steps.end(step)
-    time.advance(0.5)
+    virtual_time.advance(0.5)
     assert steps.end("front_open") == StepEnd("front_open", pytest.approx(5500.0))
     assert steps.ended == (
         *first_steps,
@@ -124,6 +126,7 @@
         StepEnd("store_replied", pytest.approx(20.0)),
         StepEnd("front_open", pytest.approx(5500.0)),
     )
+    assert steps.elapsed_ms() == pytest.approx(5870.0 + (first_step_ms or 0.0))
 
 
 def test_use_and_limits_of_this_process_are_read():
@@ -135,11 +138,29 @@
     assert read_limits().descriptor_count > 0
 
 
-@pytest.mark.parametrize("clock", [make_boot_clock(), Clock(read_s=lambda: -1.0)])
-def test_an_age_is_known_unless_the_start_lies_in_the_future(clock):
-    """A machine with a simulated clock may report a time of the start that is yet to come."""
-    age_ms = read_age_ms(clock)
-    assert age_ms is None if clock.now_ms() < 0.0 else 0.0 < age_ms < 86_400_000.0
+@pytest.mark.parametrize(
+    ("now_s", "age_ms"),
+    [(0.9, None), (1.0, 0.0), (1.06, 60.0), (601.0, 600_000.0), (602.0, None), (76_222.5, None)],
+)
+def test_an_age_that_no_starting_process_has_is_not_known(tmp_path, monkeypatch, now_s, age_ms):
+    """A machine with a simulated clock may report a start in the future or long ago."""
+    path = tmp_path / "stat"
+    ticks_per_s = os.sysconf("SC_CLK_TCK")
+    path.write_text(f"1 (a) S {'0 ' * 18} {ticks_per_s} 0")
+    monkeypatch.setattr(usage_module, "_STAT_PATH", path)
+    assert read_age_ms(Clock(read_s=lambda: now_s)) == pytest.approx(age_ms)
+
+
+def test_the_age_of_a_new_process_is_read():
+    program = (
+        "from savoryarch.lifetime import read_age_ms\n"
+        "from savoryarch.utils import make_boot_clock\n"
+        "print(read_age_ms(make_boot_clock()))\n"
+    )
+    began_s = time.monotonic()
+    output = subprocess.run([sys.executable, "-c", program], capture_output=True, check=True)
+    took_ms = (time.monotonic() - began_s) * 1000.0
+    assert 0.0 < float(output.stdout) < took_ms + 1000.0 / os.sysconf("SC_CLK_TCK")
 
 
 @pytest.mark.parametrize(
