Restarts: tell whether the earlier process had announced a planned stop

A process cannot tell how its predecessor ended, but its peers know its earlier incarnation and whether that announced a stop: they log unclean_restart with both incarnations and the time between them, and count savoryarch_restarts by clean and unclean. An instance logs registration_found if the first list of the store has its own registration, whose lease its predecessor held less than lease_ms before.

--- a/savoryarch/discovery/_decide.py
+++ b/savoryarch/discovery/_decide.py
@@ -102,8 +102,8 @@
     if not state.settings.enabled:
         return Decided(state)
     match event:
-        case Started():
-            return _step(state, "started", None, now_ms)
+        case Started(instance_id=instance_id):
+            return _step(replace(state, instance_id=instance_id), "started", None, now_ms)
         case SettingsReloaded(sections={"discovery": DiscoverySettings() as settings}):
             return Decided(replace(state, settings=settings))
         case RegisteredInstance():
@@ -166,10 +166,11 @@
             return Decided(state, (call,))
         case "apply_entries", KeysListed(entries=entries, revision=revision):
             changes = [KeyChange(entry.key, entry.value, entry.revision) for entry in entries]
+            found = _report_earlier_registration(state, changes)
             state = _record_store_reply(replace(state, revision=revision), now_ms)
             applied = apply_full_list(state, changes, now_ms)
             state = replace(applied.state, announced_revision=revision)
-            return Decided(state, applied.effects)
+            return Decided(state, found + applied.effects)
         case "apply_changes", KeysChanged(changes=changed, revision=revision):
             before, state = state, _record_store_reply(replace(state, revision=revision), now_ms)
             applied = apply_changes(state, changed, now_ms)
@@ -188,6 +189,27 @@
             return Decided(state, (SetTimer(POLL_TIMER, now_ms + delay_ms),))
 
 
+def _report_earlier_registration(
+    state: DiscoveryState, entries: list[KeyChange]
+) -> tuple[object, ...]:
+    """Log that the first list has a registration of this instance, which its predecessor wrote.
+
+    The predecessor renewed the lease of the registration within its duration before the list.
+    """
+    if state.replied_at_ms != NEVER_MS:
+        return ()
+    key = state.settings.instances_prefix + state.instance_id
+    return tuple(
+        effect
+        for entry in entries
+        if entry.key == key
+        for effect in (
+            Count("restarts", "registration_found"),
+            LogEvent("registration_found", (("key", key), ("revision", str(entry.revision)))),
+        )
+    )
+
+
 def _record_store_reply(state: DiscoveryState, now_ms: float) -> DiscoveryState:
     """Record when the store replied, and whether it did so for the first time after an outage.
 
--- a/savoryarch/discovery/_state.py
+++ b/savoryarch/discovery/_state.py
@@ -83,6 +83,8 @@
         Decodes and encodes entries.
     chart_state : str
         State in the chart ``discovery``.
+    instance_id : str
+        Id of this instance; empty before its start.
     revision : int
         Revision of the store up to which changes have been applied.
     table : ForwardingTable or None
@@ -125,6 +127,7 @@
     settings: DiscoverySettings
     codec: StoreEntryCodec
     chart_state: str
+    instance_id: str = ""
     revision: int = 0
     table: ForwardingTable | None = None
     targets: Map[str, RegisteredTarget] = field(default_factory=Map)
--- a/savoryarch/discovery/tests/test_discovery.py
+++ b/savoryarch/discovery/tests/test_discovery.py
@@ -148,6 +148,28 @@
     assert bool(driver.published(TargetsDiscovered)) == discovered
 
 
+@pytest.mark.parametrize(
+    ("lists", "found"),
+    [
+        ([{}], 0),
+        ([{"i_you": b"1"}], 0),
+        ([{"i_me": b"1"}], 1),
+        ([{"i_me": b"1"}, {"i_me": b"1"}], 1),
+        ([{}, {"i_me": b"1"}], 0),  # its own
+    ],
+)
+def test_a_registration_that_a_predecessor_left_is_reported_once(lists, found):
+    driver = Driver(instances_prefix="i/")
+    driver.start(**lists[0])
+    for entries in lists[1:]:
+        driver.feed(TimerFired(POLL_TIMER))
+        driver.feed(StoreReplied(CHANGES_CALL, WatchCompacted(40)))
+        driver.list(**entries)
+    counted = Count("restarts", "registration_found")
+    logged = LogEvent("registration_found", (("key", "i/me"), ("revision", "1")))
+    assert [driver.effects.count(counted), driver.effects.count(logged)] == [found, found]
+
+
 @pytest.mark.parametrize(
     ("changes", "targets"),
     [
--- a/savoryarch/membership/_state.py
+++ b/savoryarch/membership/_state.py
@@ -48,6 +48,8 @@
         When a member in the state ``suspected`` is declared dead.
     digests : tuple of ComponentDigest
         Digests of the member's last heartbeat.
+    leaving_incarnation : int
+        Newest incarnation that announced a planned stop; 0 if none did.
     """
 
     update: MemberUpdate
@@ -59,6 +61,7 @@
     answers_probes: bool = True
     suspicion_ends_at_ms: float = 0.0
     digests: tuple[ComponentDigest, ...] = ()
+    leaving_incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch/membership/_updates.py
+++ b/savoryarch/membership/_updates.py
@@ -67,12 +67,32 @@
         effects += (ConnectPeer(update.instance_id, update.host, update.port),)
     if update.incarnation > member.update.incarnation > 0:
         effects += (PublishEvent(PeerRestarted(update.instance_id, update.incarnation)),)
+        effects += _report_restart(member, update)
         if update.instance_id in state.probes:
             state = replace(state, probes=state.probes.delete(update.instance_id))
-    state = with_member(state, replace(member, update=update))
+    leaving_incarnation = member.leaving_incarnation
+    if update.status is MemberStatus.LEAVING:
+        leaving_incarnation = update.incarnation
+    member = replace(member, update=update, leaving_incarnation=leaving_incarnation)
+    state = with_member(state, member)
     return chain_decisions(Decided(state, effects), apply_event, update.instance_id, event, now_ms)
 
 
+def _report_restart(member: Member, update: MemberUpdate) -> tuple[object, ...]:
+    """Count a restart, and log one whose earlier incarnation did not announce a planned stop."""
+    earlier = member.update.incarnation
+    if member.leaving_incarnation == earlier:
+        return (Count("restarts", "clean"),)
+    fields = (
+        ("peer", update.instance_id),
+        ("incarnation", str(update.incarnation)),
+        ("earlier_incarnation", str(earlier)),
+        ("earlier_age_ms", str(update.incarnation - earlier)),
+        ("state", member.chart_state),
+    )
+    return (Count("restarts", "unclean"), LogEvent("unclean_restart", fields))
+
+
 def apply_event(
     state: MembershipState, instance_id: str, event: str, now_ms: float
 ) -> Decided[MembershipState]:
--- a/savoryarch/membership/tests/test_membership.py
+++ b/savoryarch/membership/tests/test_membership.py
@@ -186,6 +186,32 @@
     assert published == {entry_id(0), entry_id(2), entry_id(3)}
 
 
+@pytest.mark.parametrize(
+    ("announces_stop", "off_ms", "reason"),
+    [
+        (False, 0.0, "unclean"),
+        (False, 500.0, "unclean"),
+        (False, 20_000.0, "unclean"),
+        (True, 500.0, "clean"),
+        (True, 20_000.0, "clean"),
+    ],
+)
+def test_peers_report_whether_a_restarted_instance_had_announced_its_stop(
+    announces_stop, off_ms, reason
+):
+    fleet = start_fleet()
+    if announces_stop:
+        fleet.feed(entry_id(1), LeavingAnnounced())
+        fleet.run(2000)
+    fleet.kill(entry_id(1))
+    fleet.run(off_ms)
+    fleet.start(entry_id(1), "zone-a", 7001)
+    assert fleet.run(5000, lambda: views_match(fleet))
+    fleet.run(5000)
+    reported = {key: count for key, count in fleet.counts.items() if key[0] == "restarts"}
+    assert reported == {("restarts", reason): 3}
+
+
 def test_new_instance_at_an_address_replaces_the_earlier_one():
     fleet = start_fleet()
     fleet.conditions = NetworkConditions(list_lag_ms=60_000.0)
