--- a/tests/process/test_planned_stop.py
+++ b/tests/process/test_planned_stop.py
@@ -61,6 +61,7 @@
         entry.send_signal(signal.SIGINT)
     assert entry.wait_for_exit(1.5) in (0, 1)
     assert "shutdown_cut" in entry.read_log_tail()
+    assert "process_ending reason=urgent_stop signal=SIGINT" in entry.read_log_tail(1)
 
 
 @pytest.mark.process
@@ -150,3 +151,5 @@
         assert search["not_run"] is False
         assert order["outcome"] == "unknown"
         assert entry.wait_for_exit(STOP_TIMEOUT_S) == 1
+        last = entry.read_log_tail(1)
+        assert "process_ending reason=deadline_reached signal=SIGTERM exit_code=1 cut=2" in last
--- a/tests/process/test_process_endings.py
+++ b/tests/process/test_process_endings.py
@@ -35,6 +35,21 @@
 from twisted.internet import reactor
 reactor.callWhenRunning(reactor.callLater, 0.1, reactor.stop)
 """
+CRASH_IN_NATIVE_THREAD = """
+import ctypes
+from twisted.internet import reactor
+library = ctypes.CDLL(None)
+library.abort.restype = None
+def crash():
+    library.pthread_create(ctypes.byref(ctypes.c_ulong()), None, library.abort, None)
+reactor.callWhenRunning(reactor.callLater, 0.1, crash)
+"""
+FAIL_IN_THREAD = """
+import threading
+from twisted.internet import reactor
+def fail(): raise LookupError("in a thread")
+reactor.callWhenRunning(threading.Thread(target=fail).start)
+"""
 
 
 def run_program(tmp_path, program, prelude="", signals=(), arguments=None, settings=None):
@@ -124,6 +139,22 @@
     assert "process_ending" not in output
 
 
+@pytest.mark.process
+def test_a_crash_in_a_native_thread_is_told_by_a_report_without_a_stack(tmp_path):
+    code, output = run_program(tmp_path, "deploy", prelude=CRASH_IN_NATIVE_THREAD)
+    assert code == -signal.SIGABRT, output
+    _, report = output.split("Fatal Python error: Aborted\n")
+    assert "File " not in report
+
+
+@pytest.mark.process
+def test_an_exception_in_a_thread_is_reported_and_ends_nothing(tmp_path):
+    code, output = run_program(tmp_path, "deploy", prelude=FAIL_IN_THREAD, signals=[signal.SIGTERM])
+    assert "Exception in thread" in output
+    assert "LookupError: in a thread" in output
+    assert (code, "reason=stop_finished" in output.splitlines()[-1]) == (0, True), output
+
+
 @pytest.mark.process
 @pytest.mark.parametrize(
     ("program", "steps"),
