--- a/savoryarch/utils/__init__.py
+++ b/savoryarch/utils/__init__.py
@@ -3,6 +3,7 @@
 from savoryarch.utils._budget import Budget, add_tokens, spend_tokens
 from savoryarch.utils._clock import (
     Clock,
+    make_boot_clock,
     make_monotonic_clock,
     make_wall_clock,
     set_reactor_clock,
@@ -59,6 +60,7 @@
     "format_suggestion",
     "heap_pop",
     "heap_push",
+    "make_boot_clock",
     "make_monotonic_clock",
     "make_wall_clock",
     "parse_ini",
