Codec: release an incomplete reply when its connection closes

Cause: the parser of a connection and that of httptools refer to each other, so that a closed connection kept its body, of up to 16 MiB, until a full garbage collection, which the thresholds make rare. The limit on incomplete replies no longer counted it. An idle connection also kept its last reply, and an abandoned request its bytes.

Change: HttpReplyParser.close breaks the cycle; connections drop replies and requests that ended.

--- a/savoryarch/codec/_reply_parser.py
+++ b/savoryarch/codec/_reply_parser.py
@@ -85,7 +85,19 @@
         self._body = bytearray()
         self._bytes_without_body = 0
         self._progressed = False
-        self._parser = HttpResponseParser(self)
+        self._parser: HttpResponseParser | None = HttpResponseParser(self)
+
+    def close(self) -> None:
+        """Release all memory; nothing may be fed afterwards.
+
+        The parser of httptools refers to this object, so that without the call both would stay
+        until the next garbage collection, with up to `MAX_REPLY_BYTES` of a body.
+        """
+        self._parser = None
+        self._replies = []
+        self._headers, self._raw_headers, self._body = {}, [], bytearray()
+        self.held_bytes = 0
+        self._body_ends_at_close = False
 
     def feed(self, data: bytes) -> tuple[HttpReply, ...]:
         """Parse received bytes and return the replies that they complete.
@@ -112,6 +124,7 @@
     def _feed_slice(self, data: bytes) -> None:
         self._progressed = False
         self.held_bytes += len(data)
+        assert self._parser is not None
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
@@ -173,6 +186,7 @@
         self._body_ends_at_close = False
         if not self._is_final() or self._has_inner_status_line:
             return
+        assert self._parser is not None
         self._replies.append(self._make_reply(self._parser.should_keep_alive()))
         self._progressed = True
         self.held_bytes = self._bytes_without_body = 0
@@ -189,9 +203,11 @@
         return self._make_reply(keep_alive=False)
 
     def _is_final(self) -> bool:
+        assert self._parser is not None
         return self._parser.get_status_code() >= _FIRST_FINAL_STATUS
 
     def _make_reply(self, keep_alive: bool) -> HttpReply:
+        assert self._parser is not None
         return HttpReply(
             self._parser.get_status_code(),
             bytes(self._body),
--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -211,6 +211,8 @@
             self._step("replied")
         else:
             self._step("replied_last")
+        # An idle connection must not hold its last request and reply, which may be large.
+        self._reply = None
 
     def _record_unfinished(self, exchange: Exchange) -> None:
         if len(self._unfinished_ids) >= MAX_UNFINISHED_IDS // 2:
@@ -282,6 +284,7 @@
 
     def _deliver_reply(self) -> None:
         exchange, reply = self._pop_exchange(), self._reply
+        self._reply = None
         if exchange and reply:
             exchange.on_reply(reply)
 
@@ -315,7 +318,7 @@
         self._notify_closed(TargetEvidence.CONNECTION_CLOSED)
 
     def _drop_held_bytes(self) -> None:
-        self._parser = HttpReplyParser()
+        self._parser.close()
         if self._held_bytes:
             self._report_held_bytes(0)
 
@@ -323,6 +326,7 @@
         # The connection counts against the target's limit until its transport has ended.
         if not self._close_notified:
             self._close_notified = True
+            self._abandoned = None
             self._drop_held_bytes()
             self._owner.connection_closed(self, evidence)
 
@@ -340,6 +344,7 @@
         self._step("grace_ended")
 
     def _stop_grace(self) -> None:
+        self._abandoned = None
         if self._grace_timer is not None:
             self._grace_timer.cancel()
             self._grace_timer = None
