Front: answer pipelined requests in a loop, some per turn

Callers saw: a client that pipelined some 300 requests that are refused immediately lost its connection without answers, and other clients waited meanwhile.

Cause: each immediate answer read the next request by recursion, which exceeded the limit of the interpreter (RecursionError, 'Unhandled Error' in the log of a real process).

Change: a loop answers up to 16 requests, and then lets other connections have their turn.

Evidence: the new test fails before with the RecursionError.

--- a/savoryarch/front/_connection.py
+++ b/savoryarch/front/_connection.py
@@ -35,6 +35,8 @@
 )
 CHART = load_chart("client_connection", ACTIONS)
 MAX_BUFFERED_BYTES = 65_536  # that a client may send before its outstanding request is answered
+# Requests of one connection that are answered immediately before other connections have their turn.
+MAX_REQUESTS_PER_TURN = 16
 # Added to each timeout, because a client may use the timeout in full as it measures it.
 TIMEOUT_MARGIN_MS = 1000.0
 _MS_PER_S = 1000.0
@@ -119,6 +121,8 @@
         self._answer: ClientAnswer | None = None
         self._unusable: UnusableRequest | None = None
         self._buffered = b""
+        self._reads_buffered = False
+        self._read_call: Any = None
         self._idle_timer: Any = None
         self._receive_timer: Any = None
         self._actions: dict[str, Callable[[], None]] = {
@@ -150,6 +154,9 @@
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Handle the end of the connection; called by Twisted."""
         self._stop_timers()
+        if self._read_call is not None:
+            self._read_call.cancel()
+            self._read_call = None
         if self._state != "closed":
             self._step("lost")
         self._owner.remove_connection(self)
@@ -161,7 +168,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being received or answered on it."""
-        if self._state == "idle":
+        if self._state == "idle" and self._read_call is None:
             self._step("idle_ended")
 
     def _read(self, data: bytes) -> None:
@@ -244,15 +251,39 @@
         self._write(ClientAnswer(408, (), b"the request did not come whole in time"), is_last=True)
 
     def _read_buffered(self) -> None:
-        buffered, self._buffered = self._buffered, b""
+        # A request that is answered immediately leads here again. The loop handles it, because
+        # recursion would exceed its limit when a client pipelines hundreds of them.
+        if self._reads_buffered:
+            return
+        self._reads_buffered = True
+        try:
+            for _ in range(MAX_REQUESTS_PER_TURN):
+                if self._state != "idle" or not self._read_next():
+                    return
+        finally:
+            self._reads_buffered = False
+        if self._state == "idle":
+            # Bytes that arrive until then would overtake those that are left.
+            self.transport.pauseProducing()
+            self._read_call = self._owner.reactor.callLater(0, self._continue_reading)
+
+    def _continue_reading(self) -> None:
+        self._read_call = None
+        self.transport.resumeProducing()
+        self._read_buffered()
+
+    def _read_next(self) -> bool:
+        """Handle the next bytes that were received earlier; return whether there were any."""
         parsed = self._parser.next_request()
         if parsed is not None:
             # A pipelined request is already complete in the parser; the buffered bytes follow it.
             self._step("bytes_received")
-            self._buffered = buffered
             self._handle_parsed(parsed)
-        elif buffered:
+            return True
+        buffered, self._buffered = self._buffered, b""
+        if buffered:
             self._read(buffered)
+        return bool(buffered)
 
     def _abandon(self) -> None:
         if self._request_id:
--- a/savoryarch/front/tests/test_front.py
+++ b/savoryarch/front/tests/test_front.py
@@ -211,3 +211,17 @@
     page.makeConnection(HalfClosingTransport())
     page.dataReceived(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n" * 2)
     assert statuses(page) == [status, status]
+
+
+def test_hundreds_of_pipelined_requests_are_refused_one_by_one():
+    """Each answer leads to the next request; recursion would exceed its limit."""
+    owner, connection = connect()
+    connection.dataReceived(GET.replace(b"Request-Id: r1\r\n", b"") * 1000)
+    assert len(statuses(connection)) < 100  # other connections have their turn
+    connection.close_if_idle()
+    for _ in range(1000):
+        owner.reactor.advance(0)
+    assert statuses(connection) == [400] * 1000
+    assert connection.transport.producerState == "producing"
+    connection.close_if_idle()
+    assert connection.transport.disconnecting
