Front: limit the memory of all clients' connections

Cause: each connection had limits of its own, but nothing limited all of them together, and some bytes were not limited at all: trailers of a chunked request were kept (and forwarded) as headers until the receive timeout, a header took some twenty times its counted bytes, a body an object for each chunk, pipelined requests were all parsed, and answers that the client did not read stayed without a limit of bytes or time, also after the close of the connection.

Change: ClientMemory counts what all connections hold, with the overhead of headers and requests, within a fifth of memory_mb. Above it the connection that holds most releases its memory: a request received in part is refused with 503 and Retry-After (it has not run), pipelined requests are not read and the last answer closes the connection, unread answers are lost with their connection. Outstanding requests are never discarded; one that does not fit is refused. Trailers are discarded and limited. An answer may stay unread for the idle timeout.

--- a/savoryarch/entry/_instance.py
+++ b/savoryarch/entry/_instance.py
@@ -62,6 +62,8 @@
     SearchRequested | RouteRequested | ForwardRequested | ChangeRequested | StatusRequested
 )
 
+SHORTAGE_LOG_INTERVAL_MS = 1000.0
+
 # Names of events in the counter ``faults`` and in log lines, where they differ from class names.
 _FAULT_NAMES = MappingProxyType({**OUTER_NAMES.classes, ForwardRequested: "ForwardAsked"})
 
@@ -126,6 +128,7 @@
         self._pending_outcomes: dict[str, Deferred] = {}
         self._events: deque[object] = deque()
         self._feeding = False
+        self._shortage_logged_at_ms = float("-inf")
 
     def feed(self, event: object) -> None:
         """Decide on an event and perform the effects.
@@ -220,6 +223,14 @@
         """Count a request that was refused before it became an event."""
         self.metrics.count("refusals", reason)
 
+    def report_shortage(self, reason: str, detail: str) -> None:
+        """Count a refusal for lack of memory, and log the first one in each second."""
+        self.count_refusal(reason)
+        now_ms = self.clock.now_ms()
+        if now_ms - self._shortage_logged_at_ms >= SHORTAGE_LOG_INTERVAL_MS:
+            self._shortage_logged_at_ms = now_ms
+            log_event("memory_short", (("reason", reason), ("detail", detail)))
+
     def _handle_event(self, event: object) -> None:
         try:
             decided = decide_tier(self.state, event, self.clock.now_ms())
--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -17,7 +17,13 @@
 from savoryarch.entry._metrics import Metrics
 from savoryarch.entry._reload import SettingsFile
 from savoryarch.entry._wiring import make_instance
-from savoryarch.front import ClientDialect, Front, MetricsPage, ReadinessPage
+from savoryarch.front import (
+    ClientDialect,
+    Front,
+    MetricsPage,
+    ReadinessPage,
+    make_client_memory,
+)
 from savoryarch.model import (
     Started,
     StopRequested,
@@ -103,7 +109,12 @@
         self._caller_site: Any = None
         self._instance = make_instance(settings, reactor, self._exit, self._open_peers)
         self._settings_file = SettingsFile(settings_path, settings, self._instance.feed, reactor)
-        self._front = Front(self._instance, reactor, ClientDialect(decode_request, encode_answer))
+        self._front = Front(
+            self._instance,
+            reactor,
+            ClientDialect(decode_request, encode_answer),
+            make_client_memory(settings.instance.memory_mb),
+        )
         if settings.forwarding.enabled:
             self._instance.on_ready = self._open_front
             page = ReadinessPage(self._is_ready)
--- a/savoryarch/front/_connection.py
+++ b/savoryarch/front/_connection.py
@@ -1,25 +1,29 @@
 """One connection of a client, driven by the chart ``client_connection.ini``."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet.protocol import Protocol as TwistedProtocol
 
 from savoryarch.charts import load_chart
-from savoryarch.front._parser import ParsedRequest, RequestParser, UnusableRequest
-from savoryarch.model.forwarding import (
-    ForwardedRequest,
-    ForwardOutcome,
-    FrontLimits,
-    HeaderFields,
+from savoryarch.front._answer_sender import AnswerSender
+from savoryarch.front._connection_owner import ClientAnswer, ConnectionOwner
+from savoryarch.front._parser import (
+    ParsedRequest,
+    RequestParser,
+    UnusableRequest,
+    count_request_bytes,
 )
+from savoryarch.model import RefusalReason, Refused
+from savoryarch.model.forwarding import ForwardOutcome
 from savoryarch.utils import start_lingering_close
 
 ACTIONS = frozenset(
     {
+        "abort",
         "close",
+        "discard_pipelined",
         "half_close",
         "read_buffered",
         "start_idle_timer",
@@ -39,68 +43,13 @@
 MAX_REQUESTS_PER_TURN = 16
 # Added to each timeout, because a client may use the timeout in full as it measures it.
 TIMEOUT_MARGIN_MS = 1000.0
+# After a refusal for lack of memory; by then, what other clients have sent in part has been
+# completed or has timed out.
+MEMORY_RETRY_AFTER_MS = 1000.0
 _MS_PER_S = 1000.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclass(frozen=True, slots=True)
-class ClientAnswer:
-    """The answer to one request, without the headers that the connection adds."""
-
-    status: int
-    headers: HeaderFields
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class ClientDialect:
-    """Decodes clients' requests and encodes the answers to them.
-
-    Parameters
-    ----------
-    decode_request : callable
-        Returns the request with the time in milliseconds that the client waits for the answer
-        (None if it states none), or an `UnusableRequest`.
-    encode_answer : callable
-        Returns the `ClientAnswer` for an outcome.
-    """
-
-    decode_request: Callable[
-        [ParsedRequest], "tuple[ForwardedRequest, float | None] | UnusableRequest"
-    ]
-    encode_answer: Callable[[ForwardOutcome], ClientAnswer]
-
-
-class ConnectionOwner(Protocol):
-    """Functions of the `Front` that its connections use."""
-
-    reactor: Any
-    dialect: ClientDialect
-
-    def limits(self) -> FrontLimits:
-        """Return the limits and timeouts that are in force."""
-
-    def is_closing(self) -> bool:
-        """Return whether each connection closes after its next answer."""
-
-    def submit(
-        self,
-        request: ForwardedRequest,
-        remaining_ms: float | None,
-        answer: Callable[[ForwardOutcome], None],
-    ) -> str:
-        """Forward a request, call `answer` with its outcome, and return its id."""
-
-    def abandon(self, request_id: str) -> None:
-        """Abandon a request whose client has disconnected; its outcome is discarded."""
-
-    def count_refusal(self, reason: str) -> None:
-        """Count a request that is refused before it is forwarded."""
-
-    def remove_connection(self, connection: "ClientConnection") -> None:
-        """Remove a connection that has ended."""
-
-
 class ClientConnection(TwistedProtocol):
     """One connection of a client; at most one request is outstanding on it.
 
@@ -118,13 +67,17 @@
         self._state = CHART.initial
         self._request: ParsedRequest | None = None
         self._request_id = ""
+        self._request_bytes = 0
         self._answer: ClientAnswer | None = None
-        self._unusable: UnusableRequest | None = None
+        self._refusal: ClientAnswer | None = None
         self._buffered = b""
+        self._held_bytes = 0
+        self._discards_pipelined = False
         self._reads_buffered = False
         self._read_call: Any = None
         self._idle_timer: Any = None
         self._receive_timer: Any = None
+        self._unread_timer: Any = None
         self._actions: dict[str, Callable[[], None]] = {
             name: getattr(self, f"_{name}") for name in ACTIONS
         }
@@ -132,6 +85,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Start the idle timeout; called by Twisted."""
         self.transport.setTcpNoDelay(True)
+        self._sender = AnswerSender(self.transport, self._handle_unsent)
         self._start_idle_timer()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -143,9 +97,12 @@
         """
         match self._state:
             case "waiting":
+                if self._discards_pipelined:
+                    return
                 self._buffered += data
                 if len(self._buffered) > MAX_BUFFERED_BYTES:
                     self._step("unusable")
+                self._report_held_bytes()
             case "closed":
                 return
             case _:
@@ -154,11 +111,10 @@
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Handle the end of the connection; called by Twisted."""
         self._stop_timers()
-        if self._read_call is not None:
-            self._read_call.cancel()
-            self._read_call = None
         if self._state != "closed":
             self._step("lost")
+        self._sender.finish()
+        self._release()
         self._owner.remove_connection(self)
 
     @property
@@ -171,11 +127,54 @@
         if self._state == "idle" and self._read_call is None:
             self._step("idle_ended")
 
+    def release_memory(self, detail: str) -> None:
+        """Discard what the connection holds apart from its outstanding request.
+
+        A request that is received in part is refused; it has not been forwarded. Answers that the
+        client does not read are lost with the connection. Pipelined requests are not read, which
+        the last answer tells by closing the connection.
+        """
+        self._held_bytes = 0
+        refused = Refused(RefusalReason.OVERLOADED, detail, True, MEMORY_RETRY_AFTER_MS)
+        self._refusal = self._owner.dialect.encode_answer(refused)
+        self._owner.report_memory_shortage(detail)
+        match self._state:
+            case "closed":
+                self._abort()
+            case _ if self._sender.unsent_bytes:
+                self._step("unread")
+            case _:
+                self._step("out_of_memory")
+
+    def _report_held_bytes(self) -> None:
+        """Report what the connection holds apart from its outstanding request, if it changed."""
+        unsent_bytes = self._sender.unsent_bytes
+        held_bytes = self._parser.held_bytes + len(self._buffered) + unsent_bytes
+        if held_bytes != self._held_bytes:
+            self._held_bytes = held_bytes
+            self._owner.memory.update(self, held_bytes)
+
+    def _release(self) -> None:
+        """Release all memory but the answers that are being sent."""
+        if self._read_call is not None:
+            self._read_call.cancel()
+            self._read_call = None
+        self._parser.close()
+        self._buffered = b""
+        self._request = self._answer = None
+        self._free_request()
+        self._report_held_bytes()
+
+    def _free_request(self) -> None:
+        self._owner.memory.free(self._request_bytes)
+        self._request_bytes = 0
+
     def _read(self, data: bytes) -> None:
         if self._state == "idle":
             self._step("bytes_received")
         self._parser.limits = self._owner.limits()
         self._handle_parsed(self._parser.feed(data))
+        self._report_held_bytes()
 
     def _handle_parsed(self, parsed: ParsedRequest | UnusableRequest | None) -> None:
         match parsed:
@@ -189,7 +188,7 @@
                 self.transport.write(_CONTINUE)
 
     def _refuse(self, unusable: UnusableRequest) -> None:
-        self._unusable = unusable
+        self._refusal = ClientAnswer(unusable.status, (), unusable.detail.encode())
         self._owner.count_refusal(unusable.reason)
         self._step("unusable")
 
@@ -201,6 +200,14 @@
             self._finish(ClientAnswer(decoded.status, (), decoded.detail.encode()))
             return
         request, remaining_ms = decoded
+        request_bytes = count_request_bytes(self._request)
+        if not self._owner.memory.reserve(request_bytes):
+            detail = "requests hold too much memory"
+            self._owner.report_memory_shortage(detail)
+            refused = Refused(RefusalReason.OVERLOADED, detail, True, MEMORY_RETRY_AFTER_MS)
+            self._finish(self._owner.dialect.encode_answer(refused))
+            return
+        self._request_bytes = request_bytes
         self._request_id = self._owner.submit(request, remaining_ms, self._handle_outcome)
 
     def _handle_outcome(self, outcome: ForwardOutcome) -> None:
@@ -210,7 +217,10 @@
     def _finish(self, answer: ClientAnswer) -> None:
         assert self._request is not None
         self._answer = answer
-        is_last = self._owner.is_closing() or not self._request.keep_alive
+        self._free_request()
+        is_last = (
+            self._owner.is_closing() or not self._request.keep_alive or self._discards_pipelined
+        )
         self._step("answered_last" if is_last else "answered")
 
     def _step(self, event: str) -> None:
@@ -219,6 +229,8 @@
         self._state = transition.next_state
         for action in transition.actions:
             self._actions[action]()
+        if self._state == "closed":
+            self._release()
 
     def _write_answer(self) -> None:
         answer, self._answer = self._answer, None
@@ -236,12 +248,36 @@
         lines.append(b"content-length: %d" % len(answer.body))
         if is_last:
             lines.append(b"connection: close")
-        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + answer.body)
+        self._sender.send(b"\r\n".join(lines) + b"\r\n\r\n" + answer.body)
+
+    def _handle_unsent(self) -> None:
+        """Limit the time for which the client does not read its answers."""
+        if not self._sender.unsent_bytes:
+            self._stop_unread_timer()
+        elif self._unread_timer is None:
+            delay_ms = self._owner.limits().idle_timeout_ms + TIMEOUT_MARGIN_MS
+            self._unread_timer = self._call_later(delay_ms, self._end_unread)
+        self._report_held_bytes()
+
+    def _end_unread(self) -> None:
+        self._unread_timer = None
+        self._owner.count_refusal("answer_unread")
+        if self._state == "closed":
+            self._abort()
+        else:
+            self._step("unread")
+
+    def _abort(self) -> None:
+        self.transport.abortConnection()
+
+    def _discard_pipelined(self) -> None:
+        self._discards_pipelined = True
+        self._parser.close()
+        self._buffered = b""
 
     def _write_refusal(self) -> None:
-        assert self._unusable is not None
-        detail = self._unusable.detail.encode()
-        self._write(ClientAnswer(self._unusable.status, (), detail), is_last=True)
+        assert self._refusal is not None
+        self._write(self._refusal, is_last=True)
 
     def _half_close(self) -> None:
         start_lingering_close(self.transport, self._owner.reactor)
@@ -271,6 +307,7 @@
         self._read_call = None
         self.transport.resumeProducing()
         self._read_buffered()
+        self._report_held_bytes()
 
     def _read_next(self) -> bool:
         """Handle the next bytes that were received earlier; return whether there were any."""
@@ -318,6 +355,11 @@
         if timer is not None:
             timer.cancel()
 
+    def _stop_unread_timer(self) -> None:
+        timer, self._unread_timer = self._unread_timer, None
+        if timer is not None:
+            timer.cancel()
+
     def _stop_timers(self) -> None:
         self._stop_idle_timer()
         timer, self._receive_timer = self._receive_timer, None
--- a/savoryarch/front/_front.py
+++ b/savoryarch/front/_front.py
@@ -7,7 +7,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 
-from savoryarch.front._connection import ClientConnection, ClientDialect
+from savoryarch.front._client_memory import ClientMemory
+from savoryarch.front._connection import ClientConnection
+from savoryarch.front._connection_owner import ClientDialect
 from savoryarch.model import CallerDisconnected
 from savoryarch.model.forwarding import (
     ForwardedRequest,
@@ -28,13 +30,22 @@
         Twisted's reactor.
     dialect : ClientDialect
         Decodes requests and encodes answers.
+    memory : ClientMemory, optional
+        Limit on the bytes that the connections hold.
     """
 
     noisy = False
 
-    def __init__(self, instance: Any, reactor: Any, dialect: ClientDialect) -> None:
+    def __init__(
+        self,
+        instance: Any,
+        reactor: Any,
+        dialect: ClientDialect,
+        memory: ClientMemory | None = None,
+    ) -> None:
         self.reactor = reactor
         self.dialect = dialect
+        self.memory = memory or ClientMemory()
         self._instance = instance
         self._connections: set[ClientConnection] = set()
         self._closing = False
@@ -114,6 +125,10 @@
         """Count a request that is refused before it is forwarded."""
         self._instance.count_refusal(reason)
 
+    def report_memory_shortage(self, detail: str) -> None:
+        """Count and log that a connection was made to release memory, or a request refused."""
+        self._instance.report_shortage("client_memory", detail)
+
     def remove_connection(self, connection: ClientConnection) -> None:
         """Remove a connection that has ended."""
         self._connections.discard(connection)
--- a/savoryarch/front/_parser.py
+++ b/savoryarch/front/_parser.py
@@ -7,6 +7,10 @@
 from savoryarch.model.forwarding import FrontLimits, HeaderFields
 from savoryarch.utils import fast_init
 
+# Upper bounds on the memory of a header, and of a request, beside their text. Without them, short
+# headers and pipelined requests take some twenty times the memory that is counted.
+HEADER_OVERHEAD_BYTES = 200
+REQUEST_OVERHEAD_BYTES = 1000
 _EXPECT_CONTINUE = b"100-continue"
 
 
@@ -68,9 +72,27 @@
         self.limits = limits
         self.wants_continue = False
         self._complete_requests: list[ParsedRequest] = []
+        self._complete_bytes = 0
         self._body_too_large = False
+        self._in_head = True
+        self._reset()
+        self._parser: HttpRequestParser | None = HttpRequestParser(self)
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the requests that have not been returned, complete or not."""
+        return self._complete_bytes + self._incomplete_bytes
+
+    def close(self) -> None:
+        """Release all memory; nothing may be fed afterwards.
+
+        The parser of httptools refers to this object, so that without the call both would stay
+        until the next garbage collection.
+        """
+        self._parser = None
+        self._complete_requests = []
+        self._complete_bytes = 0
         self._reset()
-        self._parser = HttpRequestParser(self)
 
     def feed(self, data: bytes) -> ParsedRequest | UnusableRequest | None:
         """Parse received bytes.
@@ -81,6 +103,7 @@
             The oldest complete request that was not returned before, or the reason why the
             connection cannot be read any further; None if no request is complete.
         """
+        assert self._parser is not None
         if self._in_head:
             self._head_bytes += len(data)
         try:
@@ -89,7 +112,9 @@
             return UnusableRequest(400, "upgrade", "connections are not upgraded")
         except HttpParserError as error:
             return UnusableRequest(400, "malformed_request", f"request is not HTTP: {error}")
-        if self._in_head and self._head_bytes > self.limits.max_header_bytes:
+        self._last_feed_bytes = len(data)
+        head_bytes = self._head_bytes if self._in_head else self._trailer_bytes
+        if head_bytes > self.limits.max_header_bytes:
             return UnusableRequest(
                 431, "header_too_large", f"got over {self.limits.max_header_bytes} header bytes"
             )
@@ -107,6 +132,7 @@
         if not self._complete_requests:
             return None
         request = self._complete_requests.pop(0)
+        self._complete_bytes -= count_request_bytes(request)
         hosts = [value for name, value in request.headers if name.lower() == b"host"]
         if len(hosts) != 1:
             detail = f"got {len(hosts)} host headers, expected 1"
@@ -114,12 +140,23 @@
         return request
 
     def _reset(self) -> None:
+        self._in_head = True
         self._path = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._head_bytes = 0
-        self._in_head = True
+        self._trailer_bytes = 0
+        self._last_feed_bytes = 0
+        self._begun = False
+
+    @property
+    def _incomplete_bytes(self) -> int:
+        if not self._begun:
+            return 0
+        headers_bytes = len(self._headers) * HEADER_OVERHEAD_BYTES
+        # The head may have begun in the bytes that ended another request, which do not count
+        # against its own limit.
+        return max(self._head_bytes, self._last_feed_bytes) + headers_bytes + len(self._body)
 
     def on_message_begin(self) -> None:
         """Start a request; called by the parser.
@@ -129,14 +166,18 @@
         head_bytes = self._head_bytes
         self._reset()
         self._head_bytes = head_bytes
+        self._begun = True
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the path; called by the parser."""
         self._path += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header; called by the parser."""
-        self._headers.append((name, value))
+        """Append a header, or count and discard a trailer; called by the parser."""
+        if self._in_head:
+            self._headers.append((name, value))
+        else:
+            self._trailer_bytes += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Handle the end of the head; called by the parser."""
@@ -148,21 +189,29 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body unless the body is too large; called by the parser."""
-        self._body_bytes += len(data)
-        if self._body_bytes > self.limits.max_body_bytes:
+        if len(self._body) + len(data) > self.limits.max_body_bytes:
             self._body_too_large = True
         else:
-            self._body.append(data)
+            # An object for each chunk would take several times the memory of a small chunk.
+            self._body += data
 
     def on_message_complete(self) -> None:
         """Store the complete request; called by the parser."""
-        self._complete_requests.append(
-            ParsedRequest(
-                self._parser.get_method(),
-                self._path,
-                tuple(self._headers),
-                b"".join(self._body),
-                self._parser.should_keep_alive(),
-            )
+        assert self._parser is not None
+        request = ParsedRequest(
+            self._parser.get_method(),
+            self._path,
+            tuple(self._headers),
+            bytes(self._body),
+            self._parser.should_keep_alive(),
         )
+        self._complete_requests.append(request)
+        self._complete_bytes += count_request_bytes(request)
         self._reset()
+
+
+def count_request_bytes(request: ParsedRequest) -> int:
+    """Return an upper bound on the memory of a request."""
+    fields_bytes = sum(len(name) + len(value) for name, value in request.headers)
+    overhead_bytes = REQUEST_OVERHEAD_BYTES + len(request.headers) * HEADER_OVERHEAD_BYTES
+    return len(request.path) + fields_bytes + len(request.body) + overhead_bytes
--- a/savoryarch/front/tests/test_front.py
+++ b/savoryarch/front/tests/test_front.py
@@ -11,7 +11,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from savoryarch.front import ClientConnection, ClientDialect, ReadinessPage
+from savoryarch.front import ClientConnection, ClientDialect, ClientMemory, ReadinessPage
 from savoryarch.model import RefusalReason, Refused
 from savoryarch.model.forwarding import FrontLimits, TargetAnswered
 from savoryarch.platform import decode_request, encode_answer
@@ -36,6 +36,8 @@
         self.abandoned = []
         self.refusals = []
         self.closing = False
+        self.memory = ClientMemory()
+        self.shortages = []
 
     def limits(self):
         return LIMITS
@@ -54,6 +56,9 @@
     def count_refusal(self, reason):
         self.refusals.append(reason)
 
+    def report_memory_shortage(self, detail):
+        self.shortages.append(detail)
+
     def remove_connection(self, connection):
         pass
 
--- a/savoryarch/settings/_sections.py
+++ b/savoryarch/settings/_sections.py
@@ -46,8 +46,8 @@
     availability_zone: str = setting(NAME, "availability zone that it runs in")
     memory_mb: float = setting(
         Number(0.0, 1_000_000.0),
-        "memory that the process may use, which bounds the incomplete replies that it holds; "
-        "0 if it is not known",
+        "memory that the process may use, which bounds the incomplete replies and what clients' "
+        "connections hold; 0 if it is not known",
         0.0,
     )
 
--- a/savoryarch_soak/_small_deployment.py
+++ b/savoryarch_soak/_small_deployment.py
@@ -110,7 +110,10 @@
             process.kill()
 
     def start_entry(
-        self, level: str = "info", program: tuple[str, ...] = ("savoryarch",)
+        self,
+        level: str = "info",
+        program: tuple[str, ...] = ("savoryarch",),
+        memory_mb: float = 0.0,
     ) -> tuple[ManagedProcess, HTTPConnection]:
         """Start an entry instance and wait until it answers searches.
 
@@ -120,6 +123,8 @@
             Level of its log.
         program : tuple of str
             Module to run, and arguments that precede those of the program.
+        memory_mb : float
+            Memory that the process may use, as its settings say; 0 if they do not.
 
         Returns
         -------
@@ -129,7 +134,9 @@
         addresses = find_free_addresses(3)
         settings = render_settings(0, 1, addresses, self._store)
         path = self._folder / f"entry-{level}.ini"
-        path.write_text(settings.replace("[log]", f"[log]\nlevel = {level}"), encoding="utf-8")
+        settings = settings.replace("[log]", f"[log]\nlevel = {level}")
+        settings = settings.replace("[instance]", f"[instance]\nmemory_mb = {memory_mb}")
+        path.write_text(settings, encoding="utf-8")
         arguments = ["-m", *program, "serve", "--settings", str(path)]
         entry = self._start(f"entry-{level}", arguments)
         return entry, _connect_when_serving(addresses[0])
