Store: limit the size of replies, and close the connection of a call that timed out

Cause: the body of a reply was collected without a limit, in two lists, and went on after the call had timed out: the timeout did not reach the connection.

Changes that are larger together are read by a list, like those that the store no longer has; a list is read up to 16 MiB over all pages.

--- a/savoryarch/model/_store.py
+++ b/savoryarch/model/_store.py
@@ -147,7 +147,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchCompacted:
-    """The store no longer has the changes after the requested revision; list the keys again."""
+    """The changes after the requested revision cannot be read; list the keys again.
+
+    The store no longer has them, or they are too large together.
+    """
 
     revision: int
 
--- a/savoryarch/store/_client.py
+++ b/savoryarch/store/_client.py
@@ -15,9 +15,14 @@
     StoreCall,
     StoreReply,
     StoreUnreachable,
+    WatchCompacted,
+    WatchKeys,
 )
+from savoryarch.store._reply_body import ReplyTooLarge, read_body
 from savoryarch.store._settings import StoreSettings
 
+# Over all pages of a list: several times the entries of the largest deployment.
+MAX_LIST_BYTES = 16 * 1024 * 1024
 _MS_PER_S = 1000.0
 
 
@@ -134,12 +139,13 @@
             params=list(request.query),
             data=request.body,
             reactor=self._reactor,
+            unbuffered=True,
         )
         sent.addCallback(_read_reply)
         sent.addTimeout(timeout_s, self._reactor)
         sent.addCallback(lambda reply: self._decode(call, reply))
         sent.addCallback(lambda decoded: self._continue_list(call, after_key, decoded, pages))
-        sent.addErrback(_make_unreachable)
+        sent.addErrback(lambda failure: _handle_failure(call, failure))
         return sent
 
     def _continue_list(
@@ -153,6 +159,8 @@
             case ListPage(after_key=next_key) if next_key <= after_key:
                 # Without this check, a page that repeats would be requested without end.
                 return StoreUnreachable(f"page after key {after_key!r} ends at {next_key!r}")
+            case ListPage() if _count_bytes((*pages, decoded)) > MAX_LIST_BYTES:
+                return StoreUnreachable(f"got a list of over {MAX_LIST_BYTES} bytes")
             case ListPage(after_key=next_key):
                 return self._perform(call, next_key, (*pages, decoded))
             case KeysListed(entries=entries) if pages:
@@ -168,10 +176,16 @@
         return self._pool.closeCachedConnections()
 
 
+def _count_bytes(pages: tuple[ListPage, ...]) -> int:
+    return sum(len(entry.key) + len(entry.value) for page in pages for entry in page.entries)
+
+
 def _read_reply(response: Any) -> Deferred[StoreHttpReply]:
-    content: Deferred[bytes] = response.content()
-    return content.addCallback(lambda body: StoreHttpReply(response.code, body))
+    return read_body(response).addCallback(lambda body: StoreHttpReply(response.code, body))
 
 
-def _make_unreachable(failure: Failure) -> StoreReply:
+def _handle_failure(call: StoreCall, failure: Failure) -> StoreReply:
+    if failure.check(ReplyTooLarge) and isinstance(call, WatchKeys):
+        # The same watch would fail again, whereas a list has only the newest value of each key.
+        return WatchCompacted(call.since_revision)
     return StoreUnreachable(f"{type(failure.value).__name__}: {failure.getErrorMessage()}")
