Peers: limit frames to 64 KiB between instances that only forward

Cause: each connection to the peers' address may hold a frame of up to 1 MiB that has come in part, and the receive buffer 256 of them.

Change: the limit is a parameter of the transport; instances that serve no callers, whose largest messages are parts of a configuration of 32 KiB, use 64 KiB. Others keep 1 MiB, because batches of claims carry recorded replies. The number of connections is limited by the descriptors only.

--- a/savoryarch/entry/_peer_address.py
+++ b/savoryarch/entry/_peer_address.py
@@ -14,10 +14,14 @@
 from savoryarch import model
 from savoryarch.codec import make_message_codec
 from savoryarch.entry._metrics import Metrics
-from savoryarch.peers import PeerTls, PeerTransport, TransportCallbacks
+from savoryarch.peers import MAX_FRAME_BYTES, PeerTls, PeerTransport, TransportCallbacks
 from savoryarch.settings import PeersSettings, Settings
 from savoryarch.tier import COMPONENT_MESSAGES
 
+# The largest messages between instances that only forward requests are parts of a configuration,
+# of 32 KiB. Batches of claims may be larger.
+FORWARDING_FRAME_BYTES = 64 * 1024
+
 
 def open_peers(
     settings: Settings,
@@ -65,6 +69,7 @@
             codec.decode_frame,
             _make_callbacks(metrics),
             _peer_tls(peers),
+            _max_frame_bytes(settings),
         )
     except AddressInUse as error:
         raise CannotListenError(peers.host, peers.port, error) from error
@@ -78,6 +83,11 @@
     )
 
 
+def _max_frame_bytes(settings: Settings) -> int:
+    only_forwards = settings.forwarding.enabled and not settings.callers.enabled
+    return FORWARDING_FRAME_BYTES if only_forwards else MAX_FRAME_BYTES
+
+
 def _peer_tls(settings: PeersSettings) -> PeerTls | None:
     if not settings.tls_certificate_file:
         return None
--- a/savoryarch/peers/_transport.py
+++ b/savoryarch/peers/_transport.py
@@ -109,6 +109,9 @@
     tls : PeerTls, optional
         Files for mutual TLS. Without them, messages of any process that reaches the address are
         accepted.
+    max_frame_bytes : int, optional
+        Size of the largest frame that is sent or received; it bounds the memory of each connection
+        to this instance, on which a frame may have come in part.
     """
 
     def __init__(
@@ -123,6 +126,7 @@
         decode: Callable[[bytes], object],
         callbacks: TransportCallbacks | None = None,
         tls: PeerTls | None = None,
+        max_frame_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
         limit_nng_threads()
         self._reactor = reactor
@@ -131,6 +135,7 @@
         self._deliver = receive
         self._encode = encode
         self._decode = decode
+        self._max_frame_bytes = max_frame_bytes
         self._callbacks = callbacks or TransportCallbacks()
         self._addresses: dict[str, _Address] = {}
         self._sockets: dict[str, pynng.Push0] = {}
@@ -140,7 +145,7 @@
         self._dialer_tls = make_dialer_tls(tls) if tls else None
         self._listener = pynng.Pull0(
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
-            recv_max_size=MAX_FRAME_BYTES,
+            recv_max_size=max_frame_bytes,
             tls_config=make_listener_tls(tls) if tls else None,
         )
         bound = self._listener.listen(f"{self._scheme}://{host}:{port}")
@@ -165,7 +170,7 @@
     def send(self, peer_id: str, message: object) -> None:
         """Send a message without blocking.
 
-        The message is dropped if the peer has no address, the frame exceeds `MAX_FRAME_BYTES` or
+        The message is dropped if the peer has no address, the frame exceeds `max_frame_bytes` or
         the send buffer is full.
         """
         socket = self._socket_to(peer_id)
@@ -174,7 +179,7 @@
             return
         frame = Frame(FRAME_VERSION, self._instance_id, self._incarnation, self._encode(message))
         data = write_frame(frame)
-        if len(data) > MAX_FRAME_BYTES:
+        if len(data) > self._max_frame_bytes:
             self._callbacks.on_dropped("too_large")
             return
         try:
