Front: answer no further page request while an answer is not read

Cause: the pages of readiness and metrics wrote an answer for each pipelined request, whether the client read or not, up to hundreds of pages for each received segment.

Change: the next request is answered when the previous answer has been sent.

Evidence: the new test; before, each of three pipelined requests rendered a page at once.

--- a/savoryarch/front/_readiness.py
+++ b/savoryarch/front/_readiness.py
@@ -8,6 +8,8 @@
 
 from twisted.internet.protocol import Factory, Protocol
 
+from savoryarch.front._answer_sender import AnswerSender
+
 MAX_REQUEST_BYTES = 8192  # of received requests without an answer; above, a connection is aborted
 _HEAD_END = b"\r\n\r\n"
 
@@ -20,17 +22,30 @@
     def __init__(self, answer: Callable[[], tuple[bytes, bytes]]) -> None:
         self._answer = answer
         self._received = b""
+        self._sender: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self._sender = AnswerSender(self.transport, self._answer_received)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._received += data
         if len(self._received) > MAX_REQUEST_BYTES:
+            self._received = b""
             self.transport.abortConnection()
             return
-        while _HEAD_END in self._received:
+        self._answer_received()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self._received = b""
+        self._sender.finish()
+
+    def _answer_received(self) -> None:
+        """Answer the requests that have been received, unless an answer is not read."""
+        while _HEAD_END in self._received and not self._sender.unsent_bytes:
             self._received = self._received.partition(_HEAD_END)[2]
             status, body = self._answer()
             length = b"\r\ncontent-length: %d\r\n" % len(body)
-            self.transport.write(b"HTTP/1.1 " + status + length + b"\r\n" + body)
+            self._sender.send(b"HTTP/1.1 " + status + length + b"\r\n" + body)
 
 
 class _PageFactory(Factory):
--- a/savoryarch/front/tests/test_client_memory.py
+++ b/savoryarch/front/tests/test_client_memory.py
@@ -11,7 +11,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
-from savoryarch.front import ClientConnection, RequestParser
+from savoryarch.front import ClientConnection, MetricsPage, RequestParser
 from savoryarch.front._client_memory import ClientMemory, make_client_memory
 from savoryarch.front.tests.test_front import (
     GET,
@@ -214,3 +214,15 @@
     assert statuses(connection) == [200]
     connection.dataReceived(GET)
     assert len(owner.submitted) == 2
+
+
+def test_one_page_at_most_waits_for_a_client_that_does_not_read():
+    rendered = []
+    page = MetricsPage(lambda: rendered.append(1) or b"x" * 1000).buildProtocol(None)
+    page.makeConnection(SendingTransport(10))
+    page.dataReceived(b"GET /metrics HTTP/1.1\r\n\r\n" * 3)
+    assert len(rendered) == 1
+    page.transport.sender.resumeProducing()
+    assert len(rendered) == 2
+    page.dataReceived(b"GET /metrics HTTP/1.1\r\n\r\n" * 400)
+    assert page.transport.disconnected
