--- a/savoryarch/entry/tests/test_outgoing.py
+++ b/savoryarch/entry/tests/test_outgoing.py
@@ -1,5 +1,6 @@
 """The local address of an outgoing connection stays free for processes that listen on it."""
 
+import os
 import socket
 import subprocess
 import sys
@@ -9,7 +10,8 @@
 import pytest
 
 ROOT = Path(__file__).parents[3]
-LOOPBACK_HOST = "127.0.0.1"
+# An address of this process alone: several connections may have the same local port.
+HOST = f"127.{os.getpid() // 256 % 200 + 10}.{os.getpid() % 256}.2"
 # Connects, writes its local port, and closes the connection when a byte arrives.
 PROGRAM = """
 import sys
@@ -28,7 +30,12 @@
         print("closed", flush=True)
 
 share_local_addresses(reactor)
-reactor.connectTCP("127.0.0.1", int(sys.argv[1]), ClientFactory.forProtocol(Connection))
+reactor.connectTCP(
+    sys.argv[1],
+    int(sys.argv[2]),
+    ClientFactory.forProtocol(Connection),
+    bindAddress=(sys.argv[1], 0),
+)
 reactor.callLater(20.0, reactor.stop)
 reactor.run()
 """
@@ -40,8 +47,8 @@
 
     The end that closes a connection first keeps its address for a minute after it.
     """
-    with closing(socket.create_server((LOOPBACK_HOST, 0))) as server:
-        command = [sys.executable, "-c", PROGRAM, str(server.getsockname()[1])]
+    with closing(socket.create_server((HOST, 0))) as server:
+        command = [sys.executable, "-c", PROGRAM, HOST, str(server.getsockname()[1])]
         process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
         try:
             connection, _ = server.accept()
@@ -51,7 +58,7 @@
                 assert connection.recv(1) == b""
                 connection.close()
                 assert process.stdout.readline().strip() == "closed"
-            with closing(socket.create_server((LOOPBACK_HOST, port))) as listener:
+            with closing(socket.create_server((HOST, port))) as listener:
                 assert listener.getsockname()[1] == port
             connection.close()
         finally:
