--- a/savoryarch_soak/_small_deployment.py
+++ b/savoryarch_soak/_small_deployment.py
@@ -109,6 +109,11 @@
         for process in reversed(self._started):
             process.kill()
 
+    @property
+    def store_address(self) -> Address:
+        """Address of the store."""
+        return self._store
+
     def start_entry(
         self, level: str = "info", program: tuple[str, ...] = ("savoryarch",)
     ) -> tuple[ManagedProcess, HTTPConnection]:
