--- a/deploy/main.py
+++ b/deploy/main.py
@@ -6,26 +6,39 @@
     main.py store-class-code         called by the build; see `class_code`
 """
 
-import gc
-import signal
-import sys
+import _signal  # the module `signal` loads others first, which takes as long as the interpreter
 
 # The program reloads its settings on SIGHUP. Before it has set its handler, the default action
 # would end the process, so that the signal is ignored until then.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+
+import gc  # noqa: E402
+import sys  # noqa: E402
+
 # Imported modules are never garbage; collections during the import take a tenth of the start time.
 gc.disable()
 
+from savoryarch._first_steps import prepare_process  # noqa: E402
+
+prepare_process()
+
 from class_code import store_code, use_stored_code  # noqa: E402
 
 compiled = use_stored_code()
 
-from savoryarch.entry import run_entry  # noqa: E402
+from savoryarch.entry import leave_process, run_entry  # noqa: E402
 from savoryarch.exceptions import FindingsError  # noqa: E402
-from savoryarch.settings import load_settings  # noqa: E402
+from savoryarch.settings import await_settings  # noqa: E402
 
 # The exit codes of the command line, whose module would load its library.
 REFUSED_EXIT_CODE, USAGE_EXIT_CODE = 1, 2
+SETTINGS_TIMEOUT_MS = 10_000.0  # the platform may place the file while the process starts
+
+
+def report_wait(error: FindingsError) -> None:
+    """Write a log line about settings that are not there yet."""
+    findings = str(error).replace('"', "'").replace("\n", "; ")
+    print(f'event=settings_awaited findings="{findings}"', file=sys.stderr)
 
 
 def main(arguments: list[str]) -> int:
@@ -33,11 +46,11 @@
     match arguments:
         case ["serve", "--settings", path]:
             try:
-                settings = load_settings(path)
+                settings = await_settings(path, SETTINGS_TIMEOUT_MS, report_wait)
             except FindingsError as error:
                 print(error, file=sys.stderr)
                 return REFUSED_EXIT_CODE
-            return run_entry(settings, path)
+            return leave_process(run_entry(settings, path))
         case ["store-class-code"]:
             store_code(compiled)
             return 0
