Soak: many kills, added instances, signals during starts, blocked output

New faults, from a generator of their own: several or all instances killed at the same moment and started together, an instance added during the run, SIGHUP or SIGTERM 0 to 800 ms after a start, output that is not read or whose reader goes away, a start while the predecessor still stops. InstanceExit has the signal as well as the code, and the signals that were sent before the first line of the program had run; only these are still excused.

--- a/savoryarch_soak/_checks.py
+++ b/savoryarch_soak/_checks.py
@@ -1,6 +1,7 @@
 """Checks of the product's promises against the observations of clients and targets."""
 
 import math
+import signal
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -9,7 +10,7 @@
 from savoryarch_soak._clients import CLIENT_DEADLINE_MS
 from savoryarch_soak._fault_times import has_instance_fault, has_propagation_fault
 from savoryarch_soak._faults import BreakLink, BreakStore, DriveTarget, FreezeInstance
-from savoryarch_soak._journal import Exchange, Journal, TableWritten
+from savoryarch_soak._journal import Exchange, InstanceExit, Journal, TableWritten
 from savoryarch_soak._plan import service_names
 from savoryarch_standins.forwarded import (
     Arrival,
@@ -301,10 +302,10 @@
 def check_stops(journal: Journal) -> Iterable[str]:
     """Check that planned stops meet their deadline and cut no request.
 
-    Instances that were killed, frozen or not yet ready are left out.
+    Instances that were killed, frozen or not yet ready are left to `check_exits`.
     """
     for instance_exit in journal.exits:
-        if instance_exit.asked_at_ms is None or instance_exit.killed or not instance_exit.was_ready:
+        if not _is_planned_stop(instance_exit) or instance_exit.asked_at_ms is None:
             continue
         took_ms = instance_exit.at_ms - instance_exit.asked_at_ms
         if instance_exit.code != 0 or took_ms > STOP_DEADLINE_MS:
@@ -322,14 +323,37 @@
         yield f"instance {instance_exit.instance} cut {cut_ids}" if cut_ids else ""
 
 
+def _is_planned_stop(instance_exit: InstanceExit) -> bool:
+    """Return whether an instance that served had to end its requests and exit with code 0."""
+    return (
+        instance_exit.asked_at_ms is not None
+        and instance_exit.was_ready
+        and not instance_exit.killed
+        and not instance_exit.frozen
+    )
+
+
 def check_exits(journal: Journal) -> Iterable[str]:
-    """Check that no instance exits without a signal."""
+    """Check that each instance exits only as it was asked to.
+
+    SIGKILL ends it, and so may a signal before the first line of the program has run. SIGTERM ends
+    it with code 0, or with code 1 if it was frozen and could not finish its requests in time.
+    """
     for instance_exit in journal.exits:
-        is_unrequested = instance_exit.asked_at_ms is None and not instance_exit.killed
+        if _is_planned_stop(instance_exit):
+            continue
+        signals = set(instance_exit.early_signals)
+        if instance_exit.killed:
+            signals.add(signal.SIGKILL)
+        codes: set[int] = set()
+        if instance_exit.asked_at_ms is not None:
+            codes = {0, 1} if instance_exit.frozen else {0}
+        is_expected = instance_exit.signal in signals or instance_exit.code in codes
         yield (
-            f"instance {instance_exit.instance} exited with code {instance_exit.code}"
-            if is_unrequested
-            else ""
+            ""
+            if is_expected
+            else f"instance {instance_exit.instance}, start {instance_exit.life}, exited with code "
+            f"{instance_exit.code}, signal {instance_exit.signal}"
         )
 
 
--- a/savoryarch_soak/_fault_times.py
+++ b/savoryarch_soak/_fault_times.py
@@ -3,10 +3,8 @@
 from savoryarch_soak._faults import (
     BreakLink,
     BreakStore,
-    FreezeInstance,
-    KillInstance,
     KillTargets,
-    StopInstance,
+    interrupted_instances,
 )
 from savoryarch_soak._journal import Journal
 
@@ -14,8 +12,7 @@
 def has_instance_fault(journal: Journal, instance: int, from_ms: float, to_ms: float) -> bool:
     """Return whether an instance was stopped, frozen or killed in an interval."""
     return any(
-        isinstance(item.fault, KillInstance | StopInstance | FreezeInstance)
-        and item.fault.instance == instance
+        instance in interrupted_instances(item.fault)
         and item.from_ms <= to_ms
         and item.to_ms >= from_ms
         for item in journal.injected
@@ -40,7 +37,6 @@
         match item.fault:
             case BreakStore() | BreakLink():
                 return True
-            case KillInstance() | StopInstance() | FreezeInstance() as fault:
-                if fault.instance == instance:
-                    return True
+            case fault if instance in interrupted_instances(fault):
+                return True
     return False
--- a/savoryarch_soak/_faults.py
+++ b/savoryarch_soak/_faults.py
@@ -101,6 +101,58 @@
     for_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class KillInstances:
+    """Kill several entry instances at the same moment, and start them together."""
+
+    at_ms: float
+    for_ms: float
+    instances: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AddInstance:
+    """Start an entry instance that did not run before; it stays until the end of the run."""
+
+    at_ms: float
+    instance: int
+    for_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SignalStart:
+    """Kill an entry instance, start it, and signal it `delay_ms` after its start.
+
+    With `stops`, the signal is SIGTERM, and the instance is started again after the fault and its
+    exit. Otherwise the settings change and the signal is SIGHUP.
+    """
+
+    at_ms: float
+    for_ms: float
+    instance: int
+    delay_ms: float
+    stops: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BlockOutput:
+    """Do not read the output of an entry instance, or close it until the next start."""
+
+    at_ms: float
+    for_ms: float
+    instance: int
+    closes: bool
+
+
+@dataclass(frozen=True, slots=True)
+class OverlapRestart:
+    """Stop an entry instance with SIGTERM, and start its successor at the same moment."""
+
+    at_ms: float
+    instance: int
+    for_ms: float = 0.0
+
+
 Fault = (
     KillInstance
     | StopInstance
@@ -112,6 +164,11 @@
     | KillTargets
     | BreakLink
     | ChangeTable
+    | KillInstances
+    | AddInstance
+    | SignalStart
+    | BlockOutput
+    | OverlapRestart
 )
 
 
@@ -124,5 +181,28 @@
             return f"BreakLink:{mode}"
         case DriveTarget(event=event):
             return f"DriveTarget:{event}"
+        case SignalStart(stops=stops):
+            return f"SignalStart:{'SIGTERM' if stops else 'SIGHUP'}"
+        case BlockOutput(closes=closes):
+            return f"BlockOutput:{'closed' if closes else 'unread'}"
         case _:
             return type(fault).__name__
+
+
+def interrupted_instances(fault: Fault) -> tuple[int, ...]:
+    """Return the instances that a fault stops, freezes, kills or adds."""
+    match fault:
+        case (
+            KillInstance(instance=instance)
+            | StopInstance(instance=instance)
+            | FreezeInstance(instance=instance)
+            | AddInstance(instance=instance)
+            | SignalStart(instance=instance)
+            | OverlapRestart(instance=instance)
+            | BlockOutput(instance=instance, closes=True)
+        ):
+            return (instance,)
+        case KillInstances(instances=instances):
+            return instances
+        case _:
+            return ()
--- a/savoryarch_soak/_instances.py
+++ b/savoryarch_soak/_instances.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredList
 
 from savoryarch.utils import Clock
 from savoryarch_soak._checks import (
@@ -19,10 +19,10 @@
 )
 from savoryarch_soak._clients import Clients
 from savoryarch_soak._journal import Exchange, InstanceExit
-from savoryarch_soak._process import SoakProcess
+from savoryarch_soak._process import ProcessExit, SoakProcess
 from savoryarch_standins.harness import Address
 
-RESTART_DELAY_S = 0.2  # until the simulated platform restarts a process that has exited
+RESTART_DELAY_S = 0.2  # until the simulated platform restarts a process that ended by itself
 # A loopback address of this run alone, so that no other run on the machine can bind a port
 # between the search for free ports and the start of the instance.
 INSTANCE_HOST = f"127.{os.getpid() // 256 % 200 + 10}.{os.getpid() % 256}.1"
@@ -75,6 +75,17 @@
 """
 
 
+class _Life:
+    """One process of an instance, and what was asked of it."""
+
+    def __init__(self, number: int, process: SoakProcess) -> None:
+        self.number = number
+        self.process = process
+        self.stop_requested_at_ms: float | None = None
+        self.killed = False
+        self.frozen = False
+
+
 class SoakInstance:
     """An entry instance, over all of its restarts.
 
@@ -95,7 +106,7 @@
     on_exchange_ended : callable
         Called with each `Exchange` when it has ended.
     on_exit : callable
-        Called with an `InstanceExit` each time the process exits.
+        Called with an `InstanceExit` each time a process exits.
 
     Attributes
     ----------
@@ -125,59 +136,63 @@
         self._reactor = reactor
         self._clock = clock
         self._on_exit = on_exit
-        self._process: SoakProcess | None = None
-        self._stop_requested_at_ms: float | None = None
-        self._killed_or_frozen = False
-        self._reloaded_before_ready = False
+        # The running processes; all but the last one are predecessors that still stop.
+        self._lives: list[_Life] = []
+        self._current: _Life | None = None
         self._reload_count = 0
         self._path.write_text(settings, encoding="utf-8")
 
     def start(self) -> None:
-        """Start the process unless it runs."""
-        if self._process is not None:
-            return
+        """Start a process unless one runs."""
+        if self._current is None:
+            self.start_successor()
+
+    def start_successor(self) -> None:
+        """Start a process, also while its predecessor still stops."""
         self.start_count += 1
-        self._stop_requested_at_ms, self._killed_or_frozen, self._reloaded_before_ready = (
-            None,
-            False,
-            False,
-        )
         arguments = ["-m", "savoryarch", "serve", "--settings", str(self._path)]
-        self._process = SoakProcess(self._reactor, arguments, self._log_path)
-        self._process.exited.addCallback(self._handle_exit)
+        process = SoakProcess(self._reactor, arguments, self._log_path)
+        life = self._current = _Life(self.start_count, process)
+        self._lives.append(life)
+        process.exited.addCallback(self._handle_exit, life)
 
     def is_running(self) -> bool:
-        """Return whether the process runs or is suspended."""
-        return self._process is not None
-
-    def when_ended(self) -> "Deferred[None]":
-        """Return a Deferred that fires when the process has exited, at once if none runs."""
-        ended: Deferred[None] = Deferred()
-        if self._process is None:
-            ended.callback(None)
-        else:
-            self._process.exited.addCallback(lambda _: ended.callback(None))
-        return ended
+        """Return whether the newest process runs or is suspended."""
+        return self._current is not None
+
+    def when_ended(self) -> "Deferred[Any]":
+        """Return a Deferred that fires when all running processes have exited."""
+        return DeferredList([life.process.when_exited() for life in self._lives])
 
     def kill(self) -> None:
         """Send SIGKILL."""
-        self._killed_or_frozen = True
-        self._send_signal(signal.SIGKILL)
+        if self._current is not None:
+            self._current.killed = True
+            self._current.process.send_signal(signal.SIGKILL)
+
+    def kill_all(self) -> None:
+        """Send SIGKILL to all running processes."""
+        for life in self._lives:
+            life.killed = True
+            life.process.send_signal(signal.SIGKILL)
 
     def stop(self) -> None:
         """Send SIGTERM, and record the time of the first one."""
-        if self._stop_requested_at_ms is None:
-            self._stop_requested_at_ms = self._clock.now_ms()
-        self._send_signal(signal.SIGTERM)
+        if self._current is not None:
+            if self._current.stop_requested_at_ms is None:
+                self._current.stop_requested_at_ms = self._clock.now_ms()
+            self._current.process.send_signal(signal.SIGTERM)
 
     def freeze(self) -> None:
         """Suspend the process with SIGSTOP."""
-        self._killed_or_frozen = True
-        self._send_signal(signal.SIGSTOP)
+        if self._current is not None:
+            self._current.frozen = True
+            self._current.process.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Resume the process with SIGCONT."""
-        self._send_signal(signal.SIGCONT)
+        """Resume all running processes with SIGCONT."""
+        for life in self._lives:
+            life.process.send_signal(signal.SIGCONT)
 
     def reload(self) -> None:
         """Change a harmless value in the settings file and send SIGHUP."""
@@ -186,34 +201,42 @@
             "warm_up_ms = 200", f"warm_up_ms = {200 + self._reload_count % 2}"
         )
         self._path.write_text(changed, encoding="utf-8")
-        if self._process is not None and not self._process.ready.called:
-            # Until the program has set its handler, SIGHUP ends the process.
-            self._reloaded_before_ready = True
-        self._send_signal(signal.SIGHUP)
-
-    def _send_signal(self, number: signal.Signals) -> None:
-        if self._process is not None:
-            self._process.send_signal(number)
-
-    def _handle_exit(self, code: int | None) -> None:
-        was_ready = self._process is not None and self._process.ready.called
-        self._process = None
+        if self._current is not None:
+            self._current.process.send_signal(signal.SIGHUP)
+
+    def block_output(self, closes: bool) -> None:
+        """Stop reading its output, or close it."""
+        if self._current is None:
+            return
+        if closes:
+            self._current.process.close_output()
+        else:
+            self._current.process.stop_reading()
+
+    def read_output(self) -> None:
+        """Read the output of all running processes again."""
+        for life in self._lives:
+            life.process.resume_reading()
+
+    def _handle_exit(self, process_exit: ProcessExit, life: _Life) -> None:
+        self._lives.remove(life)
+        if self._current is life:
+            self._current = None
         self._on_exit(
             InstanceExit(
                 self.number,
-                self.start_count,
+                life.number,
                 self._clock.now_ms(),
-                code,
-                self._stop_requested_at_ms,
-                self._killed_or_frozen or self._reloaded_before_ready,
-                was_ready,
+                process_exit.code,
+                life.stop_requested_at_ms,
+                life.killed,
+                life.frozen,
+                life.process.ready.called,
+                process_exit.signal,
+                tuple(life.process.early_signals),
             )
         )
-        if (
-            self._reloaded_before_ready
-            and self._stop_requested_at_ms is None
-            and not self._killed_or_frozen
-        ):
+        if life.stop_requested_at_ms is None and not life.killed:
             self._reactor.callLater(RESTART_DELAY_S, self.start)
 
 
--- a/savoryarch_soak/_journal.py
+++ b/savoryarch_soak/_journal.py
@@ -82,11 +82,14 @@
         Exit code; None if a signal ended the process.
     asked_at_ms : float or None
         Time of the first SIGTERM; None if none was sent.
-    killed : bool
-        Whether SIGKILL or SIGSTOP was sent, or SIGHUP before the instance was ready.
+    killed, frozen : bool
+        Whether SIGKILL and whether SIGSTOP was sent.
     was_ready : bool
-        Whether the instance had reported that it was ready; before that, a signal may end the
-        process without a graceful shutdown.
+        Whether the instance had reported that it was ready.
+    signal : int or None
+        The signal that ended the process; None if it exited with a code.
+    early_signals : tuple of int
+        Signals that were sent before the first line of the program had run.
     """
 
     instance: int
@@ -95,7 +98,10 @@
     code: int | None
     asked_at_ms: float | None
     killed: bool
+    frozen: bool = False
     was_ready: bool = True
+    signal: int | None = None
+    early_signals: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/savoryarch_soak/_plan.py
+++ b/savoryarch_soak/_plan.py
@@ -6,6 +6,8 @@
 from numpy.random import Generator, default_rng
 
 from savoryarch_soak._faults import (
+    AddInstance,
+    BlockOutput,
     BreakLink,
     BreakStore,
     BreakTargets,
@@ -14,8 +16,11 @@
     Fault,
     FreezeInstance,
     KillInstance,
+    KillInstances,
     KillTargets,
+    OverlapRestart,
     ReloadInstance,
+    SignalStart,
     StopInstance,
 )
 
@@ -56,6 +61,9 @@
 _PAUSE_SWITCHES = (("refuse_share", 0.3), ("hold_ms", 1500.0))
 MEAN_ADVICE_INTERVAL_MS = 3000.0
 LEAVE_MS = 6000.0  # twice the time after which a leaving target must get nothing more
+MEAN_PROCESS_FAULT_INTERVAL_MS = 3000.0
+ADDED_INSTANCES = 1  # their numbers follow those of the others
+_SIGNAL_DELAYS_MS = (0.0, 0.0, 10.0, 50.0, 200.0, 800.0)  # from the start of a process
 _LINK_MODES = ("delay", "reset", "mute_to", "mute_from", "silence")
 
 
@@ -70,7 +78,7 @@
     length_ms : float
         Duration of the load.
     instances : int
-        Number of entry instances.
+        Number of entry instances at the start; `ADDED_INSTANCES` are added during the run.
     requests_per_s : float
         Rate at which clients send requests (open loop: they do not wait for earlier answers).
     faults : tuple
@@ -113,6 +121,7 @@
             )
         at_ms += rng.exponential(MEAN_FAULT_INTERVAL_MS)
     faults += _draw_advice(seed, length_ms)
+    faults += _draw_process_faults(seed, length_ms, instances)
     ordered = tuple(sorted(faults, key=lambda fault: fault.at_ms))
     return SoakPlan(seed, length_ms, instances, requests_per_s, ordered)
 
@@ -139,6 +148,45 @@
     return faults
 
 
+def _draw_process_faults(seed: int, length_ms: float, instances: int) -> list[Fault]:
+    """Return kills of several instances, signals during starts, blocked output and overlaps.
+
+    They have a generator of their own, so that the other faults of a seed stay as they were.
+    """
+    rng = default_rng([seed, 2])
+    until_ms = length_ms - RECOVERY_MS
+    faults: list[Fault] = [
+        AddInstance(round(rng.uniform(WARM_UP_MS, until_ms)), instances + number)
+        for number in range(ADDED_INSTANCES)
+    ]
+    at_ms = WARM_UP_MS + rng.exponential(MEAN_PROCESS_FAULT_INTERVAL_MS)
+    while at_ms < until_ms:
+        for_ms = round(min(MAX_FAULT_MS, rng.exponential(MEAN_FAULT_MS), until_ms - at_ms))
+        faults.append(_draw_process_fault(rng, round(at_ms), for_ms, instances))
+        at_ms += rng.exponential(MEAN_PROCESS_FAULT_INTERVAL_MS)
+    return faults
+
+
+def _draw_process_fault(rng: Generator, at_ms: float, for_ms: float, instances: int) -> Fault:
+    instance = int(rng.integers(0, instances))
+    delay_ms = _choose(rng, _SIGNAL_DELAYS_MS)
+    killed_count = int(rng.integers(min(2, instances), instances + 1))
+    killed = tuple(sorted(int(number) for number in rng.permutation(instances)[:killed_count]))
+    match int(rng.integers(0, 6)):
+        case 0:
+            return KillInstances(at_ms, for_ms, killed)
+        case 1:
+            return SignalStart(at_ms, for_ms, instance, delay_ms, stops=False)
+        case 2:
+            return SignalStart(at_ms, for_ms, instance, delay_ms, stops=True)
+        case 3:
+            return BlockOutput(at_ms, for_ms, instance, closes=False)
+        case 4:
+            return BlockOutput(at_ms, for_ms, instance, closes=True)
+        case _:
+            return OverlapRestart(at_ms, instance)
+
+
 def _draw_fault(
     rng: Generator, kind_number: int, at_ms: float, for_ms: float, instances: int, length_ms: float
 ) -> Fault:
--- a/savoryarch_soak/_run.py
+++ b/savoryarch_soak/_run.py
@@ -16,25 +16,37 @@
 from savoryarch.platform import CONFIGURATION_KEY, decode_store_reply, encode_store_call
 from savoryarch.store import StoreClient, StoreSettings
 from savoryarch.utils import Clock
+from savoryarch_soak._checks import STOP_DEADLINE_MS
 from savoryarch_soak._clients import ROUTE_HOST as CLIENT_HOST
 from savoryarch_soak._faults import (
+    AddInstance,
+    BlockOutput,
     BreakLink,
     BreakStore,
     BreakTargets,
     ChangeTable,
     DriveTarget,
     Fault,
-    FreezeInstance,
     KillInstance,
+    KillInstances,
     KillTargets,
-    ReloadInstance,
+    OverlapRestart,
+    SignalStart,
     StopInstance,
 )
 from savoryarch_soak._instances import SoakInstance, find_free_addresses, render_settings
 from savoryarch_soak._journal import Exchange, InjectedFault, InstanceExit, Journal, TableWritten
 from savoryarch_soak._links import Link
-from savoryarch_soak._plan import REPLICAS, SHARD_SETS, SoakPlan, count_links, service_names
+from savoryarch_soak._plan import (
+    ADDED_INSTANCES,
+    REPLICAS,
+    SHARD_SETS,
+    SoakPlan,
+    count_links,
+    service_names,
+)
 from savoryarch_soak._process import SoakProcess
+from savoryarch_soak._process_faults import ProcessFaults
 from savoryarch_soak._route_table import make_route_table
 from savoryarch_standins.forwarded import Arrival, TargetSwitches
 from savoryarch_standins.harness import Address
@@ -46,6 +58,7 @@
 FINAL_WAIT_MS = 4000.0  # after the last request, for the requests in flight
 RETRY_INTERVAL_S = 0.1
 COLLECT_INTERVAL_S = 0.5  # a killed process of targets loses the arrivals since the last read
+START_MS = 5000.0  # time to start an instance on a busy machine
 _MS_PER_S = 1000.0
 
 
@@ -78,6 +91,7 @@
         self._collected_counts: dict[int, int] = {}
         self._links = [Link(reactor) for _ in range(count_links(plan.instances))]
         self._instances: list[SoakInstance] = []
+        self._process_faults = ProcessFaults(reactor, self._instances)
         self._version = 0
         self._sent_count = 0
         self._open = 0
@@ -97,7 +111,7 @@
             yield self._start_targets(process)
         yield self._write_table()
         self._make_instances()
-        for instance in self._instances:
+        for instance in self._instances[: self._plan.instances]:
             instance.start()
         yield self._wait_until_served()
         yield self._send_load()
@@ -132,13 +146,15 @@
         return self._links[self._plan.instances + process * len(service_names()) + service_number]
 
     def _make_instances(self) -> None:
-        count = self._plan.instances
+        count = self._plan.instances + ADDED_INSTANCES
         free_addresses = find_free_addresses(ADDRESSES_PER_INSTANCE * count)
         for number in range(count):
-            link = self._links[number]
-            link.upstream = self._store
+            store = self._store
+            if number < self._plan.instances:
+                link = self._links[number]
+                link.upstream, store = store, link.address
             addresses = free_addresses[number::count]
-            settings = render_settings(number, count, addresses, link.address)
+            settings = render_settings(number, count, addresses, store)
             self._instances.append(
                 SoakInstance(
                     number,
@@ -196,9 +212,9 @@
         """
         for _ in range(int(START_TIMEOUT_S / RETRY_INTERVAL_S)):
             served = {item.instance for item in self._journal.exchanges if item.status == 200}
-            if len(served) == len(self._instances):
+            if len(served) == self._plan.instances:
                 return
-            for number in range(len(self._instances)):
+            for number in range(self._plan.instances):
                 self._send(number, "find")
             yield self._sleep(RETRY_INTERVAL_S)
         raise TimeoutError(f"not all instances answered a search within {START_TIMEOUT_S} s")
@@ -211,7 +227,7 @@
             self._journal, began_at_ms=began_at_ms, ended_at_ms=ended_at_ms, exchanges=()
         )
         # A planned stop must not wait for a request that stays incomplete.
-        for instance in self._instances:
+        for instance in self._started_instances():
             instance.clients.hold_incomplete_request()
         for fault in self._plan.faults:
             self._call_later(fault.at_ms, self._inject, fault)
@@ -227,8 +243,12 @@
 
     def _send_next(self) -> None:
         # A round sends one request of the same route to each instance.
-        round_number, number = divmod(self._sent_count, len(self._instances))
-        self._send(number, ROUTES[round_number % len(ROUTES)])
+        instances = self._started_instances()
+        round_number, index = divmod(self._sent_count, len(instances))
+        self._send(instances[index].number, ROUTES[round_number % len(ROUTES)])
+
+    def _started_instances(self) -> list[SoakInstance]:
+        return [instance for instance in self._instances if instance.start_count]
 
     def _send(self, number: int, route: str) -> None:
         self._sent_count += 1
@@ -253,17 +273,8 @@
         row = InjectedFault(fault, now_ms, ends_at_ms)
         self._journal = replace(self._journal, injected=(*self._journal.injected, row))
 
-    def _begin_fault(self, fault: Fault) -> None:  # noqa: C901
+    def _begin_fault(self, fault: Fault) -> None:
         match fault:
-            case KillInstance(instance=number):
-                self._instances[number].kill()
-            case StopInstance(instance=number):
-                self._instances[number].clients.hold_incomplete_request()
-                self._instances[number].stop()
-            case FreezeInstance(instance=number):
-                self._instances[number].freeze()
-            case ReloadInstance(instance=number):
-                self._instances[number].reload()
             case BreakStore(switches=switches):
                 self._post(self._store, "/switches", dict(switches))
             case BreakTargets(process=process, switches=switches):
@@ -280,13 +291,11 @@
                 self._links[link].mode, self._links[link].delay_ms = mode, delay_ms
             case ChangeTable():
                 self._write_table()
+            case _:
+                self._process_faults.begin(fault)
 
     def _end_fault(self, fault: Fault) -> None:
         match fault:
-            case KillInstance(instance=number) | StopInstance(instance=number):
-                self._start_after_exit(self._instances[number])
-            case FreezeInstance(instance=number):
-                self._instances[number].resume()
             case BreakStore(switches=switches):
                 defaults = msgspec.to_builtins(StoreSwitches())
                 cleared = {name: defaults[name] for name, _ in switches}
@@ -305,14 +314,7 @@
             case BreakLink(link=link):
                 self._links[link].mode = ""
             case _:
-                return
-
-    def _start_after_exit(self, instance: SoakInstance) -> None:
-        """Start an instance as soon as its process has exited."""
-        if instance.is_running():
-            self._reactor.callLater(RETRY_INTERVAL_S, self._start_after_exit, instance)
-        else:
-            instance.start()
+                self._process_faults.end(fault)
 
     def _send_target_event(self, target: int, event: str) -> None:
         process, number = divmod(target, len(service_names()))
@@ -363,8 +365,7 @@
 
     def _kill_all(self) -> None:
         for instance in self._instances:
-            instance.resume()
-            instance.kill()
+            instance.kill_all()
         for process in self._processes:
             if not process.exited.called:
                 process.send_signal(signal.SIGKILL)
@@ -378,8 +379,10 @@
 def _recovery_ms(fault: Fault) -> float:
     """Return the time in ms that the system is allowed to recover after the end of a fault."""
     match fault:
-        case KillInstance() | StopInstance():
-            return 5000.0  # to start the instance on a busy machine
+        case OverlapRestart() | BlockOutput(closes=True):
+            return START_MS + STOP_DEADLINE_MS
+        case KillInstance() | KillInstances() | StopInstance() | SignalStart() | AddInstance():
+            return START_MS
         case KillTargets() | DriveTarget(event="crash"):
             return 3000.0
         case BreakLink(mode="silence"):
