--- a/deploy/main.py
+++ b/deploy/main.py
@@ -13,8 +13,12 @@
 _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
 
 import gc  # noqa: E402
+import os  # noqa: E402
 import sys  # noqa: E402
 
+# A build may replace the links to the program and its dependencies while this process loads them.
+sys.path = [os.path.realpath(path) for path in sys.path]
+
 # Imported modules are never garbage; collections during the import take a tenth of the start time.
 gc.disable()
 
@@ -26,10 +30,23 @@
 
 compiled = use_stored_code()
 
+from savoryarch.lifetime import (  # noqa: E402
+    SettingsRefused,
+    UsageError,
+    begin_start,
+    format_early_ending,
+    report_uncaught_exceptions,
+)
+
+report_uncaught_exceptions()
+steps = begin_start()
+
 from savoryarch.entry import leave_process, run_entry  # noqa: E402
 from savoryarch.exceptions import FindingsError  # noqa: E402
 from savoryarch.settings import await_settings  # noqa: E402
 
+steps.end("imports")
+
 # The exit codes of the command line, whose module would load its library.
 REFUSED_EXIT_CODE, USAGE_EXIT_CODE = 1, 2
 SETTINGS_TIMEOUT_MS = 10_000.0  # the platform may place the file while the process starts
@@ -49,13 +66,16 @@
                 settings = await_settings(path, SETTINGS_TIMEOUT_MS, report_wait)
             except FindingsError as error:
                 print(error, file=sys.stderr)
+                print(format_early_ending(SettingsRefused(str(error))), file=sys.stderr)
                 return REFUSED_EXIT_CODE
-            return leave_process(run_entry(settings, path))
+            steps.end("settings")
+            return leave_process(run_entry(settings, path, steps))
         case ["store-class-code"]:
             store_code(compiled)
             return 0
         case _:
             print(__doc__, file=sys.stderr)
+            print(format_early_ending(UsageError()), file=sys.stderr)
             return USAGE_EXIT_CODE
 
 
