--- a/savoryarch/lifetime/_usage.py
+++ b/savoryarch/lifetime/_usage.py
@@ -7,7 +7,7 @@
 
 from savoryarch.utils import Clock
 
-MAX_START_MS = 600_000.0  # a program that takes longer to load has been ended by its platform
+MAX_START_MS = 60_000.0  # a platform does not wait longer until a program is loaded
 _MS_PER_S = 1000.0
 _BYTES_PER_KIB = 1024
 _STAT_PATH = Path("/proc/self/stat")
--- a/savoryarch/lifetime/tests/test_lifetime.py
+++ b/savoryarch/lifetime/tests/test_lifetime.py
@@ -140,7 +140,7 @@
 
 @pytest.mark.parametrize(
     ("now_s", "age_ms"),
-    [(0.9, None), (1.0, 0.0), (1.06, 60.0), (601.0, 600_000.0), (602.0, None), (76_222.5, None)],
+    [(0.9, None), (1.0, 0.0), (1.06, 60.0), (61.0, 60_000.0), (62.0, None), (76_222.5, None)],
 )
 def test_an_age_that_no_starting_process_has_is_not_known(tmp_path, monkeypatch, now_s, age_ms):
     """A machine with a simulated clock may report a start in the future or long ago."""
--- a/savoryarch/membership/_updates.py
+++ b/savoryarch/membership/_updates.py
@@ -70,19 +70,26 @@
         effects += _report_restart(member, update)
         if update.instance_id in state.probes:
             state = replace(state, probes=state.probes.delete(update.instance_id))
-    leaving_incarnation = member.leaving_incarnation
-    if update.status is MemberStatus.LEAVING:
-        leaving_incarnation = update.incarnation
-    member = replace(member, update=update, leaving_incarnation=leaving_incarnation)
-    state = with_member(state, member)
+    state = with_member(state, _with_update(member, update))
     return chain_decisions(Decided(state, effects), apply_event, update.instance_id, event, now_ms)
 
 
+def _with_update(member: Member, update: MemberUpdate) -> Member:
+    if update.status is MemberStatus.LEAVING:
+        return replace(member, update=update, leaving_incarnation=update.incarnation)
+    return replace(member, update=update)
+
+
 def _report_restart(member: Member, update: MemberUpdate) -> tuple[object, ...]:
-    """Count a restart, and log one whose earlier incarnation did not announce a planned stop."""
+    """Count a restart, and log one whose earlier incarnation did not announce a planned stop.
+
+    Of a member that was known from other peers only, it is not known whether it announced one.
+    """
     earlier = member.update.incarnation
     if member.leaving_incarnation == earlier:
         return (Count("restarts", "clean"),)
+    if member.last_contact_at_ms is None:
+        return (Count("restarts", "unknown"),)
     fields = (
         ("peer", update.instance_id),
         ("incarnation", str(update.incarnation)),
@@ -133,7 +140,8 @@
 def _add_discovered_member(
     state: MembershipState, update: MemberUpdate, now_ms: float
 ) -> Decided[MembershipState]:
-    decided = add_members(state, (Member(update, CHART.initial, now_ms),))
+    member = _with_update(Member(update, CHART.initial, now_ms), update)
+    decided = add_members(state, (member,))
     event = _EVENT_BY_STATUS[update.status]
     return chain_decisions(decided, apply_event, update.instance_id, event, now_ms)
 
--- a/savoryarch/membership/tests/test_membership.py
+++ b/savoryarch/membership/tests/test_membership.py
@@ -212,6 +212,24 @@
     assert reported == {("restarts", reason): 3}
 
 
+def test_an_instance_that_never_met_the_earlier_process_does_not_report_how_it_ended():
+    # After its own restart, entry-2 knows from its peers only that entry-1 is dead.
+    fleet = start_fleet()
+    fleet.feed(entry_id(1), LeavingAnnounced())
+    fleet.run(2000)
+    fleet.kill(entry_id(1))
+    fleet.run(20_000)
+    fleet.start(entry_id(2), "zone-b", 7002)
+    fleet.run(10_000)
+    assert fleet.running_instances[entry_id(2)].state.members[entry_id(1)].chart_state == "dead"
+    assert fleet.counts["restarts", "unclean"] == 2
+    fleet.start(entry_id(1), "zone-a", 7001)
+    assert fleet.run(5000, lambda: views_match(fleet))
+    fleet.run(5000)
+    reported = {key[1]: count for key, count in fleet.counts.items() if key[0] == "restarts"}
+    assert reported == {"unclean": 2, "clean": 2, "unknown": 1}
+
+
 def test_new_instance_at_an_address_replaces_the_earlier_one():
     fleet = start_fleet()
     fleet.conditions = NetworkConditions(list_lag_ms=60_000.0)
