--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -21,7 +21,13 @@
 from savoryarch.entry._reload import SettingsFile
 from savoryarch.entry._reserved_address import ReservedAddress
 from savoryarch.entry._wiring import make_instance
-from savoryarch.front import ClientDialect, Front, MetricsPage, ReadinessPage
+from savoryarch.front import (
+    ClientDialect,
+    Front,
+    MetricsPage,
+    ReadinessPage,
+    make_client_memory,
+)
 from savoryarch.lifetime import StartSteps
 from savoryarch.model import (
     Exit,
@@ -119,7 +125,12 @@
         self._instance.on_store_reply = partial(report.end_step, "store_replied")
         self._instance.update_process_gauges = report.update_gauges
         self._settings_file = SettingsFile(settings_path, settings, self._instance.feed, reactor)
-        self._front = Front(self._instance, reactor, ClientDialect(decode_request, encode_answer))
+        self._front = Front(
+            self._instance,
+            reactor,
+            ClientDialect(decode_request, encode_answer),
+            make_client_memory(settings.instance.memory_mb),
+        )
         self._reserve_addresses()
         if settings.forwarding.enabled:
             self._instance.on_ready = self._open_front
--- a/savoryarch/front/tests/test_front.py
+++ b/savoryarch/front/tests/test_front.py
@@ -11,7 +11,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from savoryarch.front import ClientConnection, ClientDialect, ReadinessPage
+from savoryarch.front import ClientConnection, ClientDialect, ClientMemory, ReadinessPage
 from savoryarch.model import RefusalReason, Refused
 from savoryarch.model.forwarding import FrontLimits, TargetAnswered
 from savoryarch.platform import decode_request, encode_answer
@@ -36,6 +36,8 @@
         self.abandoned = []
         self.refusals = []
         self.closing = False
+        self.memory = ClientMemory()
+        self.shortages = []
 
     def limits(self):
         return LIMITS
@@ -54,6 +56,9 @@
     def count_refusal(self, reason):
         self.refusals.append(reason)
 
+    def report_memory_shortage(self, detail):
+        self.shortages.append(detail)
+
     def remove_connection(self, connection):
         pass
 
@@ -211,3 +216,17 @@
     page.makeConnection(HalfClosingTransport())
     page.dataReceived(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n" * 2)
     assert statuses(page) == [status, status]
+
+
+def test_hundreds_of_pipelined_requests_are_refused_one_by_one():
+    """Each answer leads to the next request; recursion would exceed its limit."""
+    owner, connection = connect()
+    connection.dataReceived(GET.replace(b"Request-Id: r1\r\n", b"") * 1000)
+    assert len(statuses(connection)) < 100  # other connections have their turn
+    connection.close_if_idle()
+    for _ in range(1000):
+        owner.reactor.advance(0)
+    assert statuses(connection) == [400] * 1000
+    assert connection.transport.producerState == "producing"
+    connection.close_if_idle()
+    assert connection.transport.disconnecting
