Targets: count requests that are not read against the limit on memory

Cause: each attempt held its encoded request, with a copy of the body, until its reply came, and what a target did not read waited in its connection without a limit over all targets. A search with a long body holds one copy for each shard.

Change: the request is released when it is written, and the rest that the target does not read counts with the incomplete replies: above a fifth of memory_mb the connection that holds most is closed. Both sides use ByteSender.

The new test of the pool fails before (nothing counted).

--- a/savoryarch/entry/_reply_memory.py
+++ b/savoryarch/entry/_reply_memory.py
@@ -1,4 +1,4 @@
-"""Limits the memory that incomplete replies of targets hold in this process."""
+"""Limits the memory that exchanges with targets hold in this process."""
 
 from typing import Protocol
 
@@ -15,12 +15,12 @@
 
 
 class ReplyMemory:
-    """The bytes of incomplete replies on all connections to targets, within one limit.
+    """The bytes of incomplete replies and unread requests on all connections, within one limit.
 
-    Load pattern: targets in trouble send bytes without end on hundreds of connections. Each
-    connection has a limit of its own, but together they could exceed the memory of the machine.
-    When the limit is exceeded, the connection that holds most is closed, so that short replies of
-    other targets are not affected.
+    Load pattern: targets in trouble send bytes without end on hundreds of connections, or read no
+    requests, of which each attempt at each shard holds a copy. Each connection has a limit of its
+    own, but together they could exceed the memory of the machine. When the limit is exceeded, the
+    connection that holds most is closed, so that short replies of other targets are not affected.
 
     Parameters
     ----------
--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -9,6 +9,7 @@
 from savoryarch.charts import load_chart
 from savoryarch.codec import HttpReply, HttpReplyParser
 from savoryarch.exceptions import CodecError
+from savoryarch.front import ByteSender
 from savoryarch.model import AttemptReply, ConnectionLost, MalformedReply, TargetEvidence
 
 # How long the reply to an abandoned request is awaited, so that its connection can be reused.
@@ -76,7 +77,7 @@
         """Handle what the target states about itself in a reply, before the reply is delivered."""
 
     def update_held_bytes(self, connection: "TargetConnection", held_bytes: int) -> None:
-        """Handle a change of the bytes that the connection holds of an incomplete reply."""
+        """Handle a change of the bytes that the connection holds of a request and its reply."""
 
     def idle_until_ms(self, reply: HttpReply) -> float:
         """Return the time, on the process's clock, until which the connection may be reused."""
@@ -123,7 +124,7 @@
         # Ids of replies whose requests may be sent again, with the time at which they are over.
         self._unfinished_ids: dict[str, float] = {}
         self._held_bytes = 0
-        self._writes_immediately = False
+        self._sender: Any = None
         self._failure_detail = ""
         self._grace_timer: Any = None
         self._closed = False
@@ -171,7 +172,7 @@
             self._close()
             return
         self.transport.setTcpNoDelay(True)
-        self._writes_immediately = hasattr(self.transport, "writeSomeData")
+        self._sender = ByteSender(self.transport, self._update_held_bytes)
         self._step("connected")
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -188,8 +189,7 @@
         except CodecError as error:
             self._handle_protocol_error(str(error))
             return
-        if self._parser.held_bytes != self._held_bytes:
-            self._report_held_bytes(self._parser.held_bytes)
+        self._update_held_bytes()
         if replies:
             self._handle_reply(replies[0], is_last=self._parser.has_surplus)
 
@@ -238,9 +238,12 @@
         self._held_bytes = 0
         self._handle_protocol_error(detail)
 
-    def _report_held_bytes(self, held_bytes: int) -> None:
-        self._held_bytes = held_bytes
-        self._owner.update_held_bytes(self, held_bytes)
+    def _update_held_bytes(self) -> None:
+        """Report the bytes of an incomplete reply, and of a request that is not read."""
+        held_bytes = self._parser.held_bytes + self._sender.unsent_bytes
+        if held_bytes != self._held_bytes and not self._closed:
+            self._held_bytes = held_bytes
+            self._owner.update_held_bytes(self, held_bytes)
 
     def _end_reply(self) -> None:
         """Deliver a reply whose body is delimited by the end of the connection."""
@@ -267,20 +270,11 @@
             self._actions[action]()
 
     def _write_request(self) -> None:
-        """Send the request now, without waiting for the event loop to report a writable socket."""
-        assert self._exchange is not None
-        request = self._exchange.request
-        if not self._writes_immediately:
-            self.transport.write(request)
-            return
-        sent_bytes = self.transport.writeSomeData(request)
-        if isinstance(sent_bytes, int):
-            request = request[sent_bytes:]
-        # If the connection is lost, the transport reports that when it writes the rest.
-        if request:
-            # Later bytes must not overtake those that are buffered.
-            self._writes_immediately = False
-            self.transport.write(request)
+        exchange = self._exchange
+        assert exchange is not None
+        # A copy for each attempt would stay until its reply comes.
+        request, exchange.request = exchange.request, b""
+        self._sender.send(request)
 
     def _deliver_reply(self) -> None:
         exchange, reply = self._pop_exchange(), self._reply
@@ -320,7 +314,8 @@
     def _drop_held_bytes(self) -> None:
         self._parser.close()
         if self._held_bytes:
-            self._report_held_bytes(0)
+            self._held_bytes = 0
+            self._owner.update_held_bytes(self, 0)
 
     def _notify_closed(self, evidence: TargetEvidence | None) -> None:
         # The connection counts against the target's limit until its transport has ended.
--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -8,6 +8,7 @@
 from twisted.python.failure import Failure
 
 from savoryarch.codec import JsonDialect
+from savoryarch.entry._reply_memory import ReplyMemory
 from savoryarch.entry._target_pool import TargetPool
 from savoryarch.model import (
     AttemptEnded,
@@ -134,6 +135,27 @@
         assert len(transport.sent) == sent_share * len(transport.sent + transport.value())
 
 
+@pytest.mark.parametrize(("limit_bytes", "kinds"), [(10_000, []), (20, [MalformedReply])])
+def test_a_request_that_the_target_does_not_read_is_limited(limit_bytes, kinds):
+    reactor, events, memory = MemoryReactorClock(), [], ReplyMemory(limit_bytes)
+    target = Target("t1", "balcao-01", "a", "127.0.0.1", 9)
+    clock = Clock(reactor.seconds)
+    pool = TargetPool(target, reactor, clock, events.append, JsonDialect(), memory)
+    harness = PoolHarness(reactor, pool, events)
+    harness.send("a1")
+    _, _, factory, *_ = reactor.tcpClients.pop(0)
+    protocol = factory.buildProtocol(None)
+    transport = ImmediateTransport(25)
+    protocol.makeConnection(transport)
+    assert [kind for _, kind in harness.ended()] == kinds
+    if not kinds:
+        assert memory.held_bytes == len(transport.value()) > 0
+        transport.producer.resumeProducing()  # the registration
+        transport.producer.resumeProducing()
+    assert memory.held_bytes == 0
+    assert transport.disconnected == bool(kinds)
+
+
 @pytest.mark.parametrize(
     ("reply", "kind", "reusable"),
     [
--- a/savoryarch/front/__init__.py
+++ b/savoryarch/front/__init__.py
@@ -1,5 +1,6 @@
 """HTTP server for clients whose requests are forwarded to targets."""
 
+from savoryarch.front._byte_sender import ByteSender
 from savoryarch.front._client_memory import ClientMemory, make_client_memory
 from savoryarch.front._connection import ClientConnection
 from savoryarch.front._connection_owner import ClientAnswer, ClientDialect
@@ -8,6 +9,7 @@
 from savoryarch.front._readiness import MetricsPage, ReadinessPage
 
 __all__ = [
+    "ByteSender",
     "ClientAnswer",
     "ClientConnection",
     "ClientDialect",
--- a/savoryarch/front/_answer_sender.py
+++ b/savoryarch/front/_byte_sender.py
@@ -1,4 +1,4 @@
-"""Sends answers, and counts the bytes that the client has not let through."""
+"""Sends bytes, and counts those that the peer has not let through."""
 
 from collections.abc import Callable
 from typing import Any
@@ -25,8 +25,8 @@
         pass
 
 
-class AnswerSender:
-    """Sends the answers on one connection.
+class ByteSender:
+    """Sends the bytes of one connection, without waiting for the event loop if possible.
 
     Parameters
     ----------
@@ -38,7 +38,7 @@
     Attributes
     ----------
     unsent_bytes : int
-        Bytes that wait until the client reads earlier ones; an upper bound.
+        Bytes that wait until the peer reads earlier ones; an upper bound.
     """
 
     def __init__(self, transport: Any, on_changed: Callable[[], None]) -> None:
@@ -47,7 +47,7 @@
         self._on_changed = on_changed
 
     def send(self, data: bytes) -> None:
-        """Send bytes now, or as soon as the client lets them through."""
+        """Send bytes now, or as soon as the peer lets them through."""
         if not hasattr(self._transport, "writeSomeData"):
             self._transport.write(data)
             return
--- a/savoryarch/front/_connection.py
+++ b/savoryarch/front/_connection.py
@@ -7,7 +7,7 @@
 from twisted.internet.protocol import Protocol as TwistedProtocol
 
 from savoryarch.charts import load_chart
-from savoryarch.front._answer_sender import AnswerSender
+from savoryarch.front._byte_sender import ByteSender
 from savoryarch.front._connection_owner import ClientAnswer, ConnectionOwner
 from savoryarch.front._parser import (
     ParsedRequest,
@@ -85,7 +85,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Start the idle timeout; called by Twisted."""
         self.transport.setTcpNoDelay(True)
-        self._sender = AnswerSender(self.transport, self._handle_unsent)
+        self._sender = ByteSender(self.transport, self._handle_unsent)
         self._start_idle_timer()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/savoryarch/front/_readiness.py
+++ b/savoryarch/front/_readiness.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.protocol import Factory, Protocol
 
-from savoryarch.front._answer_sender import AnswerSender
+from savoryarch.front._byte_sender import ByteSender
 
 MAX_REQUEST_BYTES = 8192  # of received requests without an answer; above, a connection is aborted
 _HEAD_END = b"\r\n\r\n"
@@ -25,7 +25,7 @@
         self._sender: Any = None
 
     def connectionMade(self) -> None:  # noqa: N802
-        self._sender = AnswerSender(self.transport, self._answer_received)
+        self._sender = ByteSender(self.transport, self._answer_received)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._received += data
--- a/savoryarch_soak/_small_deployment.py
+++ b/savoryarch_soak/_small_deployment.py
@@ -1,5 +1,6 @@
 """A small deployment with forwarded routes, for benchmarks, tests and the demonstration."""
 
+import signal
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from http.client import HTTPConnection
@@ -87,6 +88,7 @@
             self._store = store.address()
             url = f"http://{self._store}"
             self._controls: list[str] = []
+            self._targets: list[ManagedProcess] = []
             for replica in range(REPLICAS):
                 target_specs = ",".join(
                     f"{name}-{replica}:{name}:{self._registered_ports.get(f'{name}-{replica}', 0)}"
@@ -94,6 +96,7 @@
                 )
                 arguments = ["-m", "savoryarch_standins.forwarded", "--store", url]
                 targets = self._start(f"targets-{replica}", [*arguments, "--targets", target_specs])
+                self._targets.append(targets)
                 fields = targets.ready_fields
                 self._controls.append(f"http://{fields['host']}:{fields['control']}")
                 for port in fields["ports"].split(","):
@@ -161,6 +164,16 @@
         url = f"{self._controls[replica]}/switches"
         requests.post(url, json=switches, timeout=HTTP_TIMEOUT_S).raise_for_status()
 
+    def suspend_targets(self) -> None:
+        """Suspend the processes of all targets, whose connections stay open."""
+        for process in self._targets:
+            process.send_signal(signal.SIGSTOP)
+
+    def resume_targets(self) -> None:
+        """Resume the processes of all targets."""
+        for process in self._targets:
+            process.send_signal(signal.SIGCONT)
+
     def read_arrivals(self) -> list[Arrival]:
         """Return the requests that reached the targets, in the order of their times."""
         arrivals: list[Arrival] = []
--- a/tests/process/test_memory_bounds.py
+++ b/tests/process/test_memory_bounds.py
@@ -41,6 +41,7 @@
     "bodies that do not end": (800, HEAD + LONG_BODY, b""),
     "bodies of small chunks": (100, HEAD + CHUNKED + b"2\r\nxx\r\n" * 100_000, b""),
     "bodies that are outstanding": (800, HEAD + LONG_BODY + b"x", b""),
+    "bodies for all shards": (800, (HEAD + LONG_BODY + b"x").replace(b"%s", b"find"), b""),
     "pipelined requests": (300, (HEAD + b"Content-Length: 0\r\n\r\n") * 500, b""),
     "answers that are not read": (100, READ, READ * 500),
 }
@@ -95,6 +96,21 @@
         Event().wait(SETTLE_S)
 
 
+@pytest.mark.process
+@pytest.mark.parametrize("way", ["bodies for all shards", "bodies that are outstanding"])
+def test_requests_that_targets_do_not_read_cannot_exceed_the_memory(tmp_path, wait_for, way):
+    with SmallDeployment(tmp_path) as deployment:
+        entry, connection = deployment.start_entry(memory_mb=MEMORY_MB)
+        connection.close()
+        deployment.suspend_targets()
+        flood((connection.host, connection.port), *CLIENTS[way])
+        peak_mb = read_peak_mb(entry.pid)
+        print(f"{way}, not read: peak {peak_mb:.0f} MB")
+        assert peak_mb < MEMORY_MB
+        deployment.resume_targets()
+        wait_for(lambda: read_status(connection) == 200, RECOVERY_S)
+
+
 @pytest.mark.process
 @pytest.mark.parametrize("way", [*CLIENTS, *PEERS])
 def test_connections_cannot_exceed_the_memory_of_an_instance(tmp_path, wait_for, way):
