Front: count the memory of a request once, and keep interim answers first

An answer that is sent directly could have overtaken a 100 Continue that waited for the event loop; both go through ByteSender now.

--- a/savoryarch/front/_connection.py
+++ b/savoryarch/front/_connection.py
@@ -9,12 +9,7 @@
 from savoryarch.charts import load_chart
 from savoryarch.front._byte_sender import ByteSender
 from savoryarch.front._connection_owner import ClientAnswer, ConnectionOwner
-from savoryarch.front._parser import (
-    ParsedRequest,
-    RequestParser,
-    UnusableRequest,
-    count_request_bytes,
-)
+from savoryarch.front._parser import ParsedRequest, RequestParser, UnusableRequest
 from savoryarch.model import RefusalReason, Refused
 from savoryarch.model.forwarding import ForwardOutcome
 from savoryarch.utils import start_lingering_close
@@ -185,7 +180,7 @@
                 self._step("request_complete")
             case None if self._parser.wants_continue:
                 self._parser.wants_continue = False
-                self.transport.write(_CONTINUE)
+                self._sender.send(_CONTINUE)
 
     def _refuse(self, unusable: UnusableRequest) -> None:
         self._refusal = ClientAnswer(unusable.status, (), unusable.detail.encode())
@@ -200,7 +195,7 @@
             self._finish(ClientAnswer(decoded.status, (), decoded.detail.encode()))
             return
         request, remaining_ms = decoded
-        request_bytes = count_request_bytes(self._request)
+        request_bytes = self._parser.request_bytes
         if not self._owner.memory.reserve(request_bytes):
             detail = "requests hold too much memory"
             self._owner.report_memory_shortage(detail)
--- a/savoryarch/front/_parser.py
+++ b/savoryarch/front/_parser.py
@@ -63,6 +63,8 @@
 
     Attributes
     ----------
+    request_bytes : int
+        Upper bound on the memory of the request that was returned last.
     wants_continue : bool
         Whether the client sends the body only after ``100 Continue``; the user of the parser
         resets it after sending this.
@@ -71,7 +73,8 @@
     def __init__(self, limits: FrontLimits) -> None:
         self.limits = limits
         self.wants_continue = False
-        self._complete_requests: list[ParsedRequest] = []
+        self.request_bytes = 0
+        self._complete_requests: list[tuple[ParsedRequest, int]] = []
         self._complete_bytes = 0
         self._body_too_large = False
         self._in_head = True
@@ -131,8 +134,8 @@
         """
         if not self._complete_requests:
             return None
-        request = self._complete_requests.pop(0)
-        self._complete_bytes -= count_request_bytes(request)
+        request, self.request_bytes = self._complete_requests.pop(0)
+        self._complete_bytes -= self.request_bytes
         hosts = [value for name, value in request.headers if name.lower() == b"host"]
         if len(hosts) != 1:
             detail = f"got {len(hosts)} host headers, expected 1"
@@ -205,13 +208,15 @@
             bytes(self._body),
             self._parser.should_keep_alive(),
         )
-        self._complete_requests.append(request)
-        self._complete_bytes += count_request_bytes(request)
+        request_bytes = _count_request_bytes(request)
+        self._complete_requests.append((request, request_bytes))
+        self._complete_bytes += request_bytes
         self._reset()
 
 
-def count_request_bytes(request: ParsedRequest) -> int:
+def _count_request_bytes(request: ParsedRequest) -> int:
     """Return an upper bound on the memory of a request."""
-    fields_bytes = sum(len(name) + len(value) for name, value in request.headers)
-    overhead_bytes = REQUEST_OVERHEAD_BYTES + len(request.headers) * HEADER_OVERHEAD_BYTES
-    return len(request.path) + fields_bytes + len(request.body) + overhead_bytes
+    request_bytes = REQUEST_OVERHEAD_BYTES + len(request.path) + len(request.body)
+    for name, value in request.headers:
+        request_bytes += HEADER_OVERHEAD_BYTES + len(name) + len(value)
+    return request_bytes
--- a/savoryarch/front/tests/test_client_memory.py
+++ b/savoryarch/front/tests/test_client_memory.py
@@ -226,3 +226,11 @@
     assert len(rendered) == 2
     page.dataReceived(b"GET /metrics HTTP/1.1\r\n\r\n" * 400)
     assert page.transport.disconnected
+
+
+def test_an_answer_does_not_overtake_an_interim_one(owner):
+    connection = connect(owner)
+    connection.dataReceived(post(b"", "Content-Length: 2", "Expect: 100-continue"))
+    connection.dataReceived(b"ab")
+    owner.answers[0](answered())
+    assert statuses(connection) == [100, 200]
