Connections: release a lost connection without a garbage collection

Cause: a connection of a client or to a target kept bound methods of its own for the actions of its chart, and so referred to itself. A lost connection stayed until a full garbage collection, with its transport and the bytes that this had not sent, which no limit counted any more.

Change: the references are dropped when the connection is lost.

Evidence: the new test fails without the change (8 of 8 rows).

--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -232,6 +232,10 @@
             self._failure_detail = reason.getErrorMessage() if reason else "lost"
             self._step("lost")
         self._notify_closed(None)
+        # The bound methods refer to the connection, so that without this it would stay until the
+        # next garbage collection, with the bytes that its transport has not sent.
+        self._sender.close()
+        self._actions = {}
 
     def fail_reply(self, detail: str) -> None:
         """Close the connection, because incomplete replies hold too much memory."""
--- a/savoryarch/front/_byte_sender.py
+++ b/savoryarch/front/_byte_sender.py
@@ -71,3 +71,13 @@
             self.unsent_bytes = 0
             self._transport.unregisterProducer()
             self._on_changed()
+
+    def close(self) -> None:
+        """Handle that the connection has ended, and release it."""
+        self.finish()
+        self._transport = None
+        self._on_changed = _ignore
+
+
+def _ignore() -> None:
+    pass
--- a/savoryarch/front/_connection.py
+++ b/savoryarch/front/_connection.py
@@ -108,8 +108,11 @@
         self._stop_timers()
         if self._state != "closed":
             self._step("lost")
-        self._sender.finish()
+        self._sender.close()
         self._release()
+        # The bound methods refer to the connection, so that without this it would stay until the
+        # next garbage collection, with the bytes that its transport has not sent.
+        self._actions = {}
         self._owner.remove_connection(self)
 
     @property
--- a/savoryarch/front/tests/test_client_memory.py
+++ b/savoryarch/front/tests/test_client_memory.py
@@ -234,3 +234,23 @@
     connection.dataReceived(b"ab")
     owner.answers[0](answered())
     assert statuses(connection) == [100, 200]
+
+
+@pytest.mark.parametrize("sent_bytes", [b"", GET[:20], GET, GET * 3])
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_a_lost_connection_needs_no_garbage_collection(owner, sent_bytes, is_answered):
+    gc.disable()
+    try:
+        connection = connect(owner, readable_bytes=10)
+        connection.dataReceived(sent_bytes)
+        for answer in owner.answers if is_answered else ():
+            answer(answered(b"x" * 1000))
+        connection.connectionLost(Failure(ConnectionDone()))
+        owner.answers.clear()
+        reference = weakref.ref(connection)
+        del connection
+        if is_answered and owner.submitted:
+            del answer
+        assert reference() is None
+    finally:
+        gc.enable()
