--- a/savoryarch/front/_connection.py
+++ b/savoryarch/front/_connection.py
@@ -7,14 +7,9 @@
 from twisted.internet.protocol import Protocol as TwistedProtocol
 
 from savoryarch.charts import load_chart
-from savoryarch.front._answer_sender import AnswerSender
+from savoryarch.front._byte_sender import ByteSender
 from savoryarch.front._connection_owner import ClientAnswer, ConnectionOwner
-from savoryarch.front._parser import (
-    ParsedRequest,
-    RequestParser,
-    UnusableRequest,
-    count_request_bytes,
-)
+from savoryarch.front._parser import ParsedRequest, RequestParser, UnusableRequest
 from savoryarch.model import RefusalReason, Refused
 from savoryarch.model.forwarding import ForwardOutcome
 from savoryarch.utils import start_lingering_close
@@ -85,7 +80,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Start the idle timeout; called by Twisted."""
         self.transport.setTcpNoDelay(True)
-        self._sender = AnswerSender(self.transport, self._handle_unsent)
+        self._sender = ByteSender(self.transport, self._handle_unsent)
         self._start_idle_timer()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -113,8 +108,11 @@
         self._stop_timers()
         if self._state != "closed":
             self._step("lost")
-        self._sender.finish()
+        self._sender.close()
         self._release()
+        # The bound methods refer to the connection, so that without this it would stay until the
+        # next garbage collection, with the bytes that its transport has not sent.
+        self._actions = {}
         self._owner.remove_connection(self)
 
     @property
@@ -185,7 +183,7 @@
                 self._step("request_complete")
             case None if self._parser.wants_continue:
                 self._parser.wants_continue = False
-                self.transport.write(_CONTINUE)
+                self._sender.send(_CONTINUE)
 
     def _refuse(self, unusable: UnusableRequest) -> None:
         self._refusal = ClientAnswer(unusable.status, (), unusable.detail.encode())
@@ -200,7 +198,7 @@
             self._finish(ClientAnswer(decoded.status, (), decoded.detail.encode()))
             return
         request, remaining_ms = decoded
-        request_bytes = count_request_bytes(self._request)
+        request_bytes = self._parser.request_bytes
         if not self._owner.memory.reserve(request_bytes):
             detail = "requests hold too much memory"
             self._owner.report_memory_shortage(detail)
