Start: block signals until they have handlers

Cause: the modules that set the handlers are loaded in between.

tests/process/test_starts_and_ends.py, rows SignalAfterFirstLine of 0 and 5 ms, failed before.

--- a/deploy/main.py
+++ b/deploy/main.py
@@ -8,8 +8,9 @@
 
 import _signal  # the module `signal` loads others first, which takes as long as the interpreter
 
-# The program reloads its settings on SIGHUP. Before it has set its handler, the default action
-# would end the process, so that the signal is ignored until then.
+# Signals wait until they have handlers, as their default action would end the process. SIGHUP,
+# which requests to reload the settings, is ignored until the settings are loaded.
+_signal.pthread_sigmask(_signal.SIG_BLOCK, (_signal.SIGHUP, _signal.SIGTERM, _signal.SIGINT))
 _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
 
 import gc  # noqa: E402
--- a/savoryarch/__main__.py
+++ b/savoryarch/__main__.py
@@ -2,12 +2,14 @@
 
 import _signal  # the module `signal` loads others first, which takes as long as the interpreter
 
-# SIGHUP requests to reload the settings. Its default action would end the process.
+# Signals wait until they have handlers, as their default action would end the process. SIGHUP,
+# which requests to reload the settings, is ignored until the settings are loaded.
+_signal.pthread_sigmask(_signal.SIG_BLOCK, (_signal.SIGHUP, _signal.SIGTERM, _signal.SIGINT))
 _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
 
 import sys  # noqa: E402
 
-from savoryarch._first_steps import prepare_process  # noqa: E402
+from savoryarch._first_steps import deliver_signals, prepare_process  # noqa: E402
 
 if sys.argv[1:2] == ["serve"]:
     prepare_process()
@@ -15,6 +17,8 @@
     from savoryarch.lifetime import report_uncaught_exceptions
 
     report_uncaught_exceptions()
+else:
+    deliver_signals()
 
 from savoryarch.cli import main  # noqa: E402
 
--- a/savoryarch/_first_steps.py
+++ b/savoryarch/_first_steps.py
@@ -17,10 +17,16 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, _exit_before_service)
     signal.signal(signal.SIGINT, _exit_before_service)
+    deliver_signals()
     _open_standard_descriptors()
     faulthandler.enable(file=_STDERR, all_threads=False)
 
 
+def deliver_signals() -> None:
+    """Deliver the signals that the first line of the program has blocked."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
+
+
 def _exit_before_service(number: int, _: object) -> None:
     # The handler may interrupt an import, so the line is written without the modules of the log.
     fields = f"reason=stopped_at_start signal={signal.Signals(number).name} exit_code={os.EX_OK}"
