Planned stop: open no further addresses

Cause: the addresses for metrics and peers are opened 1 s after the front, also by an instance that stops meanwhile. Loading their modules held the loop for 1.2 s on a busy machine, and the answers to the requests that came meanwhile were not sent before the end. Change: an instance that stops opens no further address. The new test fails without it.

--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -16,7 +16,7 @@
 from savoryarch.entry._listen_retry import ListenRetry
 from savoryarch.entry._log import log_event, start_logging, write_output
 from savoryarch.entry._metrics import Metrics
-from savoryarch.entry._outgoing import share_local_addresses
+from savoryarch.entry._outgoing import resolve_literals_directly, share_local_addresses
 from savoryarch.entry._process_report import ProcessReport
 from savoryarch.entry._reload import SettingsFile
 from savoryarch.entry._reserved_address import ReservedAddress
@@ -76,6 +76,7 @@
     """
     set_reactor_clock(reactor, make_monotonic_clock())
     share_local_addresses(reactor)
+    resolve_literals_directly(reactor)
     log = settings.log
     start_logging(log.level.value, settings.instance.instance_id, log.stream.value, reactor)
     report = ProcessReport(settings, settings_path, steps)
@@ -189,7 +190,12 @@
             self._listen("front", self._front)
 
     def _open_other_listeners(self) -> None:
-        """Open the addresses for callers, operators, metrics and peers."""
+        """Open the addresses for callers, operators, metrics and peers.
+
+        An instance that stops opens none: loading the modules would hold up its last answers.
+        """
+        if self._is_stopping():
+            return
         settings = self._settings
         if settings.callers.enabled or settings.operators.enabled:
             self._open_listeners()
@@ -200,6 +206,9 @@
             unopened = self._instance.peers
             self._listen_retry.open("peers", lambda: self._replace_peers(unopened))
 
+    def _is_stopping(self) -> bool:
+        return self._stopped_at_ms < float("inf")
+
     def _open_listeners(self) -> None:
         settings = self._settings
         listeners = import_module("savoryarch.entry._listeners")
@@ -229,6 +238,8 @@
 
     def _replace_peers(self, unopened: UnopenedPeers) -> None:
         """Open the address for peers and register the instance, which they can reach now."""
+        if self._is_stopping():
+            return
         tier_settings = self._instance.state.settings
         self._reserved["peers"].release()
         self._instance.peers = self._open_peers_now()
--- a/tests/process/test_forwarded.py
+++ b/tests/process/test_forwarded.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import closing, suppress
 from http.client import HTTPConnection
 from threading import Event, Timer
@@ -150,3 +151,23 @@
         os.close(writing)
         if reader == "stuck":
             os.close(reading)
+
+
+@pytest.mark.process
+def test_an_instance_that_stops_opens_no_further_addresses(tmp_path, monkeypatch):
+    """Guards against requests that a planned stop cuts while the modules for peers are loaded."""
+    addresses = find_free_addresses(3)
+    monkeypatch.setattr(_small_deployment, "find_free_addresses", lambda count: addresses)
+    with _small_deployment.SmallDeployment(tmp_path) as deployment, ThreadPoolExecutor() as threads:
+        entry, connection = deployment.start_entry()
+        entry.send_signal(signal.SIGTERM)
+        for replica in range(_small_deployment.REPLICAS):
+            deployment.set_switches(replica, work_ms=1500.0)
+        assert not is_open(addresses[2])
+        answer = threads.submit(_small_deployment.send_request, connection, "read", "late")
+        while not answer.done():
+            assert not is_open(addresses[2])
+            Event().wait(0.05)
+        assert answer.result().status == 200
+        connection.close()
+        assert entry.wait_for_exit(EXIT_TIMEOUT_S) == 0
