--- a/savoryarch/entry/tests/test_outgoing.py
+++ b/savoryarch/entry/tests/test_outgoing.py
@@ -65,3 +65,31 @@
             process.kill()
             process.wait()
             process.stdout.close()
+
+
+# Connects by way of Twisted's HTTP client, and writes the number of threads.
+THREADS_PROGRAM = """
+import os, sys
+from twisted.internet import reactor
+from twisted.web.client import Agent
+from savoryarch.entry._outgoing import resolve_literals_directly
+
+resolve_literals_directly(reactor)
+
+def finish(_):
+    print(len(os.listdir("/proc/self/task")))
+    reactor.stop()
+
+Agent(reactor).request(b"GET", sys.argv[1].encode()).addBoth(finish)
+reactor.callLater(20.0, reactor.stop)
+reactor.run()
+"""
+
+
+@pytest.mark.parametrize(("host", "has_threads"), [("127.0.0.1", False), ("localhost", True)])
+def test_a_connection_to_an_address_starts_no_thread(host, has_threads):
+    """Guards against threads that run Python code beside the event loop; names need them."""
+    command = [sys.executable, "-c", THREADS_PROGRAM, f"http://{host}:1/"]
+    process = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=30.0)
+    assert process.returncode == 0, process.stderr
+    assert (int(process.stdout) > 1) == has_threads
