--- a/savoryarch/entry/_target_connection.py
+++ b/savoryarch/entry/_target_connection.py
@@ -168,11 +168,11 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Start using the connection, unless it was retired while opening; called by Twisted."""
+        self._sender = ByteSender(self.transport, self._update_held_bytes)
         if self._closed:
             self._close()
             return
         self.transport.setTcpNoDelay(True)
-        self._sender = ByteSender(self.transport, self._update_held_bytes)
         self._step("connected")
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -135,6 +135,16 @@
         assert len(transport.sent) == sent_share * len(transport.sent + transport.value())
 
 
+def test_a_connection_that_opens_after_its_target_is_gone_is_closed(harness):
+    harness.send("a1")
+    _, _, factory, *_ = harness.reactor.tcpClients.pop(0)
+    protocol = factory.buildProtocol(None)
+    protocol.retire()
+    protocol.makeConnection(NoDelayTransport())
+    assert protocol.transport.disconnected
+    lose(protocol)
+
+
 @pytest.mark.parametrize(("limit_bytes", "kinds"), [(10_000, []), (20, [MalformedReply])])
 def test_a_request_that_the_target_does_not_read_is_limited(limit_bytes, kinds):
     reactor, events, memory = MemoryReactorClock(), [], ReplyMemory(limit_bytes)
