Front: do not cut an answer that the client reads slowly

Callers saw: a connection that was reset in the middle of an answer if reading it took longer than the idle timeout, although the client read all the time.

Cause: the time limit for unread answers began with the first unsent byte and ended only when all bytes were sent.

Change: what the client does not let through at once is given to the transport in pieces, so that each piece that is sent counts as progress, and the time limit begins again.

Evidence: the new test fails with the earlier code of the connection.

--- a/savoryarch/front/_answer_sender.py
+++ b/savoryarch/front/_answer_sender.py
@@ -1,33 +1,23 @@
 """Sends answers, and counts the bytes that the client has not let through."""
 
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.interfaces import IPullProducer
 from zope.interface import implementer
 
-
-@implementer(IPullProducer)
-class _SendMonitor:
-    """Reports that a transport, whose producer it is, has sent all of its bytes."""
-
-    def __init__(self, on_sent: Callable[[], None]) -> None:
-        self._on_sent = on_sent
-        self._is_registered = False
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        # The first call comes from the registration itself.
-        if self._is_registered:
-            self._on_sent()
-        self._is_registered = True
-
-    def stopProducing(self) -> None:  # noqa: N802
-        pass
+# Of an answer that waits for the client, so that reading it in part shows as progress.
+PIECE_BYTES = 16_384
 
 
+@implementer(IPullProducer)
 class AnswerSender:
     """Sends the answers on one connection.
 
+    What the client does not let through at once is given to the transport in pieces, each when the
+    transport has sent the one before it.
+
     Parameters
     ----------
     transport : ITransport provider
@@ -45,6 +35,8 @@
         self.unsent_bytes = 0
         self._transport = transport
         self._on_changed = on_changed
+        self._pieces: deque[bytes] = deque()
+        self._sending_bytes = 0  # of the piece that the transport is sending
 
     def send(self, data: bytes) -> None:
         """Send bytes now, or as soon as the client lets them through."""
@@ -60,13 +52,34 @@
             if not data:
                 return
         self.unsent_bytes += len(data)
-        self._transport.write(data)
+        self._pieces.extend(
+            data[start : start + PIECE_BYTES] for start in range(0, len(data), PIECE_BYTES)
+        )
         if is_first:
-            self._transport.registerProducer(_SendMonitor(self.finish), False)
+            self._transport.registerProducer(self, False)
         self._on_changed()
 
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Give the next piece to the transport, which has sent the one before; called by it."""
+        sent_bytes, self._sending_bytes = self._sending_bytes, 0
+        if not self._pieces:
+            self.finish()
+            return
+        piece = self._pieces.popleft()
+        self._sending_bytes = len(piece)
+        self._transport.write(piece)
+        if sent_bytes:
+            self.unsent_bytes -= sent_bytes
+            self._on_changed()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Release what waits, because the connection has ended; called by the transport."""
+        self._pieces.clear()
+
     def finish(self) -> None:
         """Handle that all bytes are sent, or that the connection has ended."""
+        self._pieces.clear()
+        self._sending_bytes = 0
         if self.unsent_bytes:
             self.unsent_bytes = 0
             self._transport.unregisterProducer()
--- a/savoryarch/front/_connection.py
+++ b/savoryarch/front/_connection.py
@@ -72,6 +72,7 @@
         self._refusal: ClientAnswer | None = None
         self._buffered = b""
         self._held_bytes = 0
+        self._unsent_bytes = 0
         self._discards_pipelined = False
         self._reads_buffered = False
         self._read_call: Any = None
@@ -251,10 +252,12 @@
         self._sender.send(b"\r\n".join(lines) + b"\r\n\r\n" + answer.body)
 
     def _handle_unsent(self) -> None:
-        """Limit the time for which the client does not read its answers."""
-        if not self._sender.unsent_bytes:
+        """Limit the time in which the client reads nothing of its answers."""
+        unsent_bytes, earlier_bytes = self._sender.unsent_bytes, self._unsent_bytes
+        self._unsent_bytes = unsent_bytes
+        if unsent_bytes < earlier_bytes:
             self._stop_unread_timer()
-        elif self._unread_timer is None:
+        if unsent_bytes and self._unread_timer is None:
             delay_ms = self._owner.limits().idle_timeout_ms + TIMEOUT_MARGIN_MS
             self._unread_timer = self._call_later(delay_ms, self._end_unread)
         self._report_held_bytes()
--- a/savoryarch/front/tests/test_client_memory.py
+++ b/savoryarch/front/tests/test_client_memory.py
@@ -204,6 +204,20 @@
         assert not owner.reactor.getDelayedCalls()
 
 
+def test_an_answer_that_is_read_slowly_is_not_cut():
+    owner = StubFront()
+    connection = connect(owner, readable_bytes=10)
+    connection.dataReceived(GET)
+    owner.answers[0](answered(b"x" * 100_000))
+    while connection.transport.sender:
+        owner.reactor.advance(15.9)
+        connection.transport.sender.resumeProducing()
+    assert not connection.transport.disconnected
+    assert statuses(connection) == [200]
+    assert connection.transport.value().count(b"x") == 100_000
+    assert owner.memory.held_bytes == 0
+
+
 def test_an_answer_that_is_read_late_is_complete(owner):
     connection = connect(owner, readable_bytes=10)
     connection.dataReceived(GET)
