Front: half-close a connection whose answers were sent late

Callers saw: the last answer without the end of the stream, and a reset 2 s after it.

Cause: the transport half-closes when its buffer is empty, but asks its producer for more first, and does not look again after the producer has left. It does so for a full close.

Change: the transport writes once more when all pieces are sent.

--- a/savoryarch/front/_answer_sender.py
+++ b/savoryarch/front/_answer_sender.py
@@ -63,6 +63,8 @@
         """Give the next piece to the transport, which has sent the one before; called by it."""
         sent_bytes, self._sending_bytes = self._sending_bytes, 0
         if not self._pieces:
+            # Without it, the transport would not perform a half-close that waits for the end.
+            self._transport.startWriting()
             self.finish()
             return
         piece = self._pieces.popleft()
--- a/savoryarch/front/tests/test_client_memory.py
+++ b/savoryarch/front/tests/test_client_memory.py
@@ -50,6 +50,9 @@
     def unregisterProducer(self):
         self.sender = None
 
+    def startWriting(self):
+        pass
+
 
 class Holder:
     def __init__(self, name):
