Front: send 100 Continue before the answer to the same request

Callers saw: a final answer followed by 100 Continue, if they sent the body without waiting and the answer was immediate, such as a refusal.

Cause: answers are written to the socket at once, whereas the interim answer was left to the next iteration of the loop.

Change: both go the same way. The new test fails with the earlier call ([200, 100]).

--- a/savoryarch/front/_connection.py
+++ b/savoryarch/front/_connection.py
@@ -186,7 +186,7 @@
                 self._step("request_complete")
             case None if self._parser.wants_continue:
                 self._parser.wants_continue = False
-                self.transport.write(_CONTINUE)
+                self._sender.send(_CONTINUE)
 
     def _refuse(self, unusable: UnusableRequest) -> None:
         self._refusal = ClientAnswer(unusable.status, (), unusable.detail.encode())
--- a/savoryarch/front/tests/test_client_memory.py
+++ b/savoryarch/front/tests/test_client_memory.py
@@ -233,6 +233,18 @@
     assert len(owner.submitted) == 2
 
 
+def test_an_interim_answer_precedes_the_last_one(owner):
+    connection = connect(owner)
+    written = connection.transport.write
+    # A real transport sends what is written in the next iteration of the loop.
+    connection.transport.write = lambda data: owner.reactor.callLater(0, written, data)
+    connection.dataReceived(post(b"", "Expect: 100-continue", "Content-Length: 5"))
+    connection.dataReceived(b"hello")
+    owner.answers[0](answered())
+    owner.reactor.advance(0)
+    assert statuses(connection) == [100, 200]
+
+
 def test_one_page_at_most_waits_for_a_client_that_does_not_read():
     rendered = []
     page = MetricsPage(lambda: rendered.append(1) or b"x" * 1000).buildProtocol(None)
