Listeners: try again when a descriptor was missing

Callers saw: an instance that runs and refuses every connection, if its descriptors were exhausted when its front was to be opened; or a process that ended with code 1, if that was at its start.

Cause: only a failure to bind or to listen was tried again. A failure to make the socket, or to duplicate its descriptor for the event loop, ended the attempt: it was logged as a failed effect, and the front counted as being opened.

Change: these failures are of the same kind. Both rows of the new test fail without it.

--- a/savoryarch/entry/_reserved_address.py
+++ b/savoryarch/entry/_reserved_address.py
@@ -58,9 +58,9 @@
         bound = self._bind()
         try:
             bound.listen(backlog)
+            port = reactor.adoptStreamPort(bound.fileno(), self._family, factory)
         except OSError as error:
             raise CannotListenError(self._host, self._port, error) from error
-        port = reactor.adoptStreamPort(bound.fileno(), self._family, factory)
         self.release()  # the port has its own descriptor of the socket
         return port
 
@@ -73,7 +73,10 @@
     def _bind(self) -> socket.socket:
         if self._socket is not None:
             return self._socket
-        bound = socket.socket(self._family, socket.SOCK_STREAM)
+        try:
+            bound = socket.socket(self._family, socket.SOCK_STREAM)
+        except OSError as error:
+            raise CannotListenError(self._host, self._port, error) from error
         try:
             bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             bound.bind((self._host, self._port))
