Build: succeed while another build renames its folders

Seen: a build that ends with FileNotFoundError after it has set the links, if another one completes a folder between the listing of the builds and the look at their ages. A platform would take the build as failed.

Change: a folder that is gone is left out. The new test fails without it.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -93,13 +94,17 @@
 
 def _remove_old_builds(used: set[Path]) -> None:
     """Remove all but the newest builds, and what builds that were interrupted have left."""
-    folders = sorted(BUILDS.iterdir(), key=lambda path: path.stat().st_mtime, reverse=True)
-    newest_s = folders[0].stat().st_mtime
+    folders: list[tuple[float, Path]] = []
+    for folder in BUILDS.iterdir():
+        with suppress(FileNotFoundError):  # another build renames or removes folders meanwhile
+            folders.append((folder.stat().st_mtime, folder))
+    folders.sort(reverse=True)
+    newest_s = folders[0][0]
     counts: dict[str, int] = {}
-    for folder in folders:
+    for modified_s, folder in folders:
         name = folder.name.partition("-")[0]
         counts[name] = counts.get(name, 0) + 1
-        old = newest_s - folder.stat().st_mtime > MIN_REMOVED_AGE_S
+        old = newest_s - modified_s > MIN_REMOVED_AGE_S
         if folder not in used and old and counts[name] > KEPT_BUILDS * (name in ("app", "deps")):
             shutil.rmtree(folder, ignore_errors=True)
 
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -1,6 +1,7 @@
 """The build of the deploy file, in a copy of the checkout without libraries to install."""
 
 import os
+import runpy
 import shutil
 import subprocess
 import sysconfig
@@ -69,6 +70,17 @@
     assert (program / "main.py").stat().st_mtime_ns == built_at_ns
 
 
+def test_a_build_succeeds_while_another_one_renames_its_folders(tmp_path, monkeypatch):
+    """Guards against a build that fails because a folder it has listed is gone."""
+    build = runpy.run_path(str(ROOT / "deploy" / "build.py"))
+    monkeypatch.setitem(build["_remove_old_builds"].__globals__, "BUILDS", tmp_path)
+    used = tmp_path / "app-1"
+    used.mkdir()
+    (tmp_path / "unfinished-app-2").symlink_to(tmp_path / "renamed")
+    build["_remove_old_builds"]({used})
+    assert used.exists()
+
+
 def test_a_build_replaces_folders_of_earlier_programs(checkout):
     """A folder that an earlier build command made takes no part in the new program."""
     for name in ("app", "deps"):
