Listeners: wait for the addresses of callers and operators as well

Callers saw: an instance that serves the interface of its own and ended with code 1 at its start, and again after each restart, while another socket had the address for callers or operators. If it also forwards, it opened neither its metrics nor its peers' address.

Cause: these two addresses were not opened through the retries of the others.

Change: they are. Open: without forwarding, an address for peers that is taken at the start still ends the process.

--- a/savoryarch/entry/_run.py
+++ b/savoryarch/entry/_run.py
@@ -204,15 +204,22 @@
         settings = self._settings
         listeners = import_module("savoryarch.entry._listeners")
         if settings.callers.enabled:
-            self._caller_site = listeners.make_caller_site(self._instance, reactor)
-            self._ports["callers"] = listeners.listen_callers(
-                settings.callers, self._caller_site, reactor
-            )
+            site = self._caller_site = listeners.make_caller_site(self._instance, reactor)
+            self._open_port("callers", partial(listeners.listen_callers, settings.callers, site))
         if settings.operators.enabled:
-            self._ports["operators"] = listeners.listen_operators(
-                settings.operators, self._instance, reactor
+            self._open_port(
+                "operators",
+                partial(listeners.listen_operators, settings.operators, self._instance),
             )
 
+    def _open_port(self, name: str, listen: Callable[[Any], Any]) -> None:
+        """Open an address with a function that returns the listening port."""
+
+        def open_now() -> None:
+            self._ports[name] = listen(reactor)
+
+        self._listen_retry.open(name, open_now)
+
     def _open_peers(
         self, incarnation: int, on_message: Callable[[str, object], None], metrics: Metrics
     ) -> Any:
--- a/tests/process/test_forwarded.py
+++ b/tests/process/test_forwarded.py
@@ -75,6 +75,39 @@
         assert entry.wait_for_exit(EXIT_TIMEOUT_S) == 0
 
 
+@pytest.mark.process
+@pytest.mark.parametrize("name", ["callers", "operators"])
+def test_an_instance_whose_own_interface_is_taken_opens_it_later(tmp_path, name):
+    """Guards against processes that end at their start, and again after each restart."""
+    *addresses, store, taken = find_free_addresses(5)
+    settings = render_settings(0, 1, addresses, store)
+    path = tmp_path / "entry.ini"
+    for earlier, later in (
+        (f"[{name}]\nenabled = no", f"[{name}]\nhost = {taken.host}\nport = {taken.port}"),
+        ("enabled = yes", "enabled = no"),
+        ("await_targets = yes", "await_targets = no"),
+    ):
+        assert earlier in settings
+        settings = settings.replace(earlier, later)
+    path.write_text(settings, encoding="utf-8")
+    command = [sys.executable, "-m", "savoryarch", "serve", "--settings", str(path)]
+    with socket.create_server((taken.host, taken.port)):
+        process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
+        with suppress(subprocess.TimeoutExpired):
+            process.wait(TAKEN_S)
+    try:
+        until_s = time.monotonic() + EXIT_TIMEOUT_S
+        while not is_open(taken):
+            assert process.poll() is None
+            assert time.monotonic() < until_s
+            Event().wait(0.1)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(EXIT_TIMEOUT_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
 @pytest.mark.process
 @pytest.mark.parametrize("taken", [0, 1, 2])
 def test_an_instance_waits_for_an_address_that_is_in_use(tmp_path, monkeypatch, taken):
