--- a/savoryarch/front/_answer_sender.py
+++ b/savoryarch/front/_byte_sender.py
@@ -1,4 +1,4 @@
-"""Sends answers, and counts the bytes that the client has not let through."""
+"""Sends bytes, and counts those that the peer has not let through."""
 
 from collections import deque
 from collections.abc import Callable
@@ -7,15 +7,15 @@
 from twisted.internet.interfaces import IPullProducer
 from zope.interface import implementer
 
-# Of an answer that waits for the client, so that reading it in part shows as progress.
+# Of what waits for the peer, so that reading it in part shows as progress.
 PIECE_BYTES = 16_384
 
 
 @implementer(IPullProducer)
-class AnswerSender:
-    """Sends the answers on one connection.
+class ByteSender:
+    """Sends the bytes of one connection, without waiting for the event loop if possible.
 
-    What the client does not let through at once is given to the transport in pieces, each when the
+    What the peer does not let through at once is given to the transport in pieces, each when the
     transport has sent the one before it.
 
     Parameters
@@ -28,7 +28,7 @@
     Attributes
     ----------
     unsent_bytes : int
-        Bytes that wait until the client reads earlier ones; an upper bound.
+        Bytes that wait until the peer reads earlier ones; an upper bound.
     """
 
     def __init__(self, transport: Any, on_changed: Callable[[], None]) -> None:
@@ -39,7 +39,7 @@
         self._sending_bytes = 0  # of the piece that the transport is sending
 
     def send(self, data: bytes) -> None:
-        """Send bytes now, or as soon as the client lets them through."""
+        """Send bytes now, or as soon as the peer lets them through."""
         if not hasattr(self._transport, "writeSomeData"):
             self._transport.write(data)
             return
@@ -86,3 +86,13 @@
             self.unsent_bytes = 0
             self._transport.unregisterProducer()
             self._on_changed()
+
+    def close(self) -> None:
+        """Handle that the connection has ended, and release it."""
+        self.finish()
+        self._transport = None
+        self._on_changed = _ignore
+
+
+def _ignore() -> None:
+    pass
--- a/savoryarch/front/tests/test_answer_sender.py
+++ b/savoryarch/front/tests/test_byte_sender.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.abstract import FileDescriptor
 
-from savoryarch.front._answer_sender import AnswerSender
+from savoryarch.front._byte_sender import ByteSender
 
 
 class StubReactor:
@@ -48,7 +48,7 @@
 @pytest.mark.parametrize("send_bytes", [7, 1000, 100_000])
 def test_a_connection_ends_when_its_answers_are_sent(end, ended, send_bytes):
     transport = Transport(send_bytes)
-    sender = AnswerSender(transport, lambda: None)
+    sender = ByteSender(transport, lambda: None)
     sender.send(b"a" * 20_000)
     sender.send(b"b" * 20_000)
     getattr(transport, end)()
