--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -113,6 +113,9 @@
         self.sent += data[: self.room]
         return len(data[: self.room])
 
+    def startWriting(self):
+        pass
+
 
 @pytest.mark.parametrize(("room", "sent_share"), [(10_000, 1.0), (0, 0.0), (25, None), (None, 0.0)])
 def test_requests_are_written_at_once_and_in_order(harness, room, sent_share):
--- a/savoryarch/front/_byte_sender.py
+++ b/savoryarch/front/_byte_sender.py
@@ -15,8 +15,8 @@
 class ByteSender:
     """Sends the bytes of one connection, without waiting for the event loop if possible.
 
-    What the peer does not let through at once is given to the transport in pieces, each when the
-    transport has sent the one before it.
+    What the peer does not let through at once is given to the transport in pieces, as soon as
+    it has sent the earlier ones.
 
     Parameters
     ----------
@@ -36,7 +36,8 @@
         self._transport = transport
         self._on_changed = on_changed
         self._pieces: deque[bytes] = deque()
-        self._sending_bytes = 0  # of the piece that the transport is sending
+        self._sending_bytes = 0  # of the pieces that the transport is sending
+        self._is_registering = False
 
     def send(self, data: bytes) -> None:
         """Send bytes now, or as soon as the peer lets them through."""
@@ -55,24 +56,32 @@
         self._pieces.extend(
             data[start : start + PIECE_BYTES] for start in range(0, len(data), PIECE_BYTES)
         )
+        self._write_pieces()
         if is_first:
+            self._is_registering = True
             self._transport.registerProducer(self, False)
+            self._is_registering = False
         self._on_changed()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Give the next piece to the transport, which has sent the one before; called by it."""
-        sent_bytes, self._sending_bytes = self._sending_bytes, 0
+        """Write the next pieces, because the earlier ones are sent; called by the transport."""
+        if self._is_registering:  # the registration itself calls it as well
+            return
         if not self._pieces:
             # Without it, the transport would not perform a half-close that waits for the end.
             self._transport.startWriting()
             self.finish()
             return
-        piece = self._pieces.popleft()
-        self._sending_bytes = len(piece)
-        self._transport.write(piece)
-        if sent_bytes:
-            self.unsent_bytes -= sent_bytes
-            self._on_changed()
+        self.unsent_bytes -= self._sending_bytes
+        self._sending_bytes = 0
+        self._write_pieces()
+        self._on_changed()
+
+    def _write_pieces(self) -> None:
+        while self._pieces and self._sending_bytes < PIECE_BYTES:
+            piece = self._pieces.popleft()
+            self._sending_bytes += len(piece)
+            self._transport.write(piece)
 
     def stopProducing(self) -> None:  # noqa: N802
         """Release what waits, because the connection has ended; called by the transport."""
