Tests: the stub of a transport calls its producer when it is registered, as a real one does

The test called the producer once in the place of the stub, after the registration. The sender tells that call from later ones by its time, so that a call that comes late counted as the end.

--- a/savoryarch/entry/tests/test_target_pool.py
+++ b/savoryarch/entry/tests/test_target_pool.py
@@ -113,6 +113,10 @@
         self.sent += data[: self.room]
         return len(data[: self.room])
 
+    def registerProducer(self, producer, streaming):
+        super().registerProducer(producer, streaming)
+        producer.resumeProducing()
+
     def startWriting(self):
         pass
 
@@ -163,7 +167,6 @@
     assert [kind for _, kind in harness.ended()] == kinds
     if not kinds:
         assert memory.held_bytes == len(transport.value()) > 0
-        transport.producer.resumeProducing()  # the registration
         transport.producer.resumeProducing()
     assert memory.held_bytes == 0
     assert transport.disconnected == bool(kinds)
